--- /dev/null
+++ b/bins/agent/src/main.rs
@@ -0,0 +1,2 @@
+//! Program.
+fn main() {}
--- /dev/null
+++ b/crates/hemlock_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Crate of the hemlockridge dispatcher.
--- /dev/null
+++ b/crates/hemlock_types/src/digest.rs
@@ -0,0 +1,76 @@
+//! SHA-256 digests of submission contents and contract keys.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Length of a SHA-256 digest in bytes.
+pub const DIGEST_BYTES: usize = 32;
+
+/// A SHA-256 digest.
+///
+/// Two submissions with one name and different digests are a caller's mistake and are refused.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Digest([u8; DIGEST_BYTES]);
+
+impl Digest {
+    /// Digests the given parts. Each part is preceded by its length, so that moving a byte
+    /// from one part to the next changes the digest.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Digests a secret key exactly as `sha256sum` does, the form that contracts carry.
+    pub fn of_key(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// Wraps raw digest bytes.
+    pub fn from_bytes(bytes: [u8; DIGEST_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    /// The raw digest bytes.
+    pub fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
+        &self.0
+    }
+
+    /// Parses 64 hexadecimal digits; `None` for any other text.
+    pub fn parse_hex(text: &str) -> Option<Self> {
+        let digits = text.as_bytes();
+        if digits.len() != DIGEST_BYTES * 2 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; DIGEST_BYTES];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(text.get(index * 2..index * 2 + 2)?, 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+
+    /// Compares in time that does not depend on where the digests differ.
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Digest({self})")
+    }
+}
--- /dev/null
+++ b/crates/hemlock_types/src/time.rs
@@ -0,0 +1,157 @@
+//! Time as the cores see it: milliseconds and microseconds since a process-local origin.
+
+use std::ops::{Add, AddAssign};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Microseconds in a millisecond.
+const MICROS_PER_MS: u64 = 1_000;
+
+/// A span of time in whole milliseconds.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} ms")]
+#[serde(transparent)]
+pub struct DurationMs(u64);
+
+impl DurationMs {
+    /// A span of `ms` milliseconds.
+    pub const fn new(ms: u64) -> Self {
+        Self(ms)
+    }
+
+    /// The span in milliseconds.
+    pub const fn as_ms(self) -> u64 {
+        self.0
+    }
+
+    /// The span as the standard library's type.
+    pub const fn as_std(self) -> std::time::Duration {
+        std::time::Duration::from_millis(self.0)
+    }
+}
+
+/// A point on a process's monotonic clock, in microseconds since the process's origin.
+///
+/// It has no meaning in another process and is never sent to one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Instant {
+    micros: u64,
+}
+
+impl Instant {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self { micros: 0 };
+
+    /// A point `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self { micros }
+    }
+
+    /// A point `ms` milliseconds after the origin.
+    pub const fn from_ms(ms: u64) -> Self {
+        Self {
+            micros: ms * MICROS_PER_MS,
+        }
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.micros
+    }
+
+    /// Time from `earlier` to this point, rounded down; zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> DurationMs {
+        DurationMs(self.micros.saturating_sub(earlier.micros) / MICROS_PER_MS)
+    }
+
+    /// Microseconds from `earlier` to this point; zero when `earlier` is later.
+    pub fn micros_since(self, earlier: Self) -> u64 {
+        self.micros.saturating_sub(earlier.micros)
+    }
+}
+
+impl Add<DurationMs> for Instant {
+    type Output = Self;
+
+    fn add(self, span: DurationMs) -> Self {
+        Self {
+            micros: self
+                .micros
+                .saturating_add(span.0.saturating_mul(MICROS_PER_MS)),
+        }
+    }
+}
+
+impl AddAssign<DurationMs> for Instant {
+    fn add_assign(&mut self, span: DurationMs) {
+        *self = *self + span;
+    }
+}
+
+/// Source of the current time.
+pub trait Clock: Send + Sync {
+    /// The current point on the monotonic clock.
+    fn now(&self) -> Instant;
+}
+
+/// The operating system's monotonic clock, from the moment this value was made.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    origin: std::time::Instant,
+}
+
+impl SystemClock {
+    /// A clock whose origin is now.
+    pub fn start() -> Self {
+        Self {
+            origin: std::time::Instant::now(),
+        }
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::from_micros(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+/// A clock that stands still until a test advances it. Clones share the time.
+#[derive(Clone, Debug, Default)]
+pub struct ManualClock {
+    micros: Arc<AtomicU64>,
+}
+
+impl ManualClock {
+    /// A clock that stands at the origin.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Moves the clock forward.
+    pub fn advance(&self, span: DurationMs) {
+        self.micros
+            .fetch_add(span.0 * MICROS_PER_MS, Ordering::SeqCst);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        Instant::from_micros(self.micros.load(Ordering::SeqCst))
+    }
+}
