--- a/crates/hemlock_types/src/digest.rs
+++ b/crates/hemlock_types/src/digest.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
@@ -12,7 +13,7 @@
 /// A SHA-256 digest.
 ///
 /// Two submissions with one name and different digests are a caller's mistake and are refused.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Digest([u8; DIGEST_BYTES]);
 
 impl Digest {
@@ -74,3 +75,24 @@
         write!(formatter, "Digest({self})")
     }
 }
+
+/// Text formats carry 64 hexadecimal digits, binary formats the 32 bytes.
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match serializer.is_human_readable() {
+            true => serializer.collect_str(self),
+            false => self.0.serialize(serializer),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <[u8; DIGEST_BYTES]>::deserialize(deserializer).map(Self);
+        }
+        let text = String::deserialize(deserializer)?;
+        Self::parse_hex(&text)
+            .ok_or_else(|| D::Error::custom("expected 64 hexadecimal digits of a SHA-256 digest"))
+    }
+}
--- a/crates/hemlock_wire/src/lib.rs
+++ b/crates/hemlock_wire/src/lib.rs
@@ -1,1 +1,3 @@
-//! Crate of the hemlockridge dispatcher.
+//! Connections and messages between the system's own processes.
+
+pub mod message;
