Number the deals of shares and report what is held

A lowered share may only be counted as lowered once the entry has taken it, and a new leader must learn which shares are still out.

--- a/crates/hemlock_quota/src/message.rs
+++ b/crates/hemlock_quota/src/message.rs
@@ -12,6 +12,9 @@
     pub running: u32,
     /// Tasks that wait.
     pub queued: u32,
+    /// The unexpired share that the entry holds as it sends the report, 0 when none. A new leader
+    /// knows from it what an earlier leader has dealt.
+    pub held: u32,
 }
 
 /// How many tasks of one customer an entry may have running at once.
--- a/crates/hemlock_wire/src/message/keeper.rs
+++ b/crates/hemlock_wire/src/message/keeper.rs
@@ -54,6 +54,8 @@
     pub directory: (u64, u64),
     /// Its work by contract.
     pub demand: Vec<Demand>,
+    /// `shares_seq` of the latest answer whose shares it has taken, 0 when none.
+    pub shares_seen: u64,
     /// How long the keeper may hold the answer back, in milliseconds.
     pub wait_ms: u64,
     /// The entry is stopping: it gives its lease and its shares back.
@@ -87,6 +89,9 @@
         directory: DirectoryUpdate,
         /// Every share the entry holds from now on; replaces all earlier ones.
         shares: Vec<Share>,
+        /// Number of this deal. An entry takes no shares of a number below or equal to one that
+        /// it has taken, so that an answer that comes late changes nothing.
+        shares_seq: u64,
         /// Submissions of this entry that were cancelled through another.
         cancelled: Vec<SubmissionId>,
         /// Addresses of every keeper.
