--- a/crates/hemlock_contract/src/contract.rs
+++ b/crates/hemlock_contract/src/contract.rs
@@ -78,6 +78,16 @@
             .any(|listed| listed.service == *service && listed.operation == *operation)
     }
 
+    /// Digest of the whole content, by which a resend of the same state is recognised.
+    ///
+    /// # Panics
+    ///
+    /// Never: every contract has a JSON form.
+    pub fn content_digest(&self) -> Digest {
+        let text = serde_json::to_vec(self).expect("every contract has a JSON form");
+        Digest::of_parts(&[&text])
+    }
+
     /// Whether the customer may call the service.
     pub fn allows_service(&self, service: &ServiceName) -> bool {
         self.services.contains(service)
--- a/crates/hemlock_contract/src/stop.rs
+++ b/crates/hemlock_contract/src/stop.rs
@@ -1,9 +1,12 @@
 //! Announced planned stops of endpoints.
 
 use derive_more::{Display, From, Into};
+use hemlock_types::names::is_valid_name;
 use hemlock_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::fault::{ContractFault, FaultKind};
+
 /// Names a planned stop; the operator chooses it, so that a resend is recognised.
 #[derive(
     Clone, Debug, Display, From, Into, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -42,3 +45,36 @@
         }
     }
 }
+
+impl PlannedStop {
+    /// Checks every name.
+    ///
+    /// # Errors
+    ///
+    /// Every fault with its field.
+    pub fn check(&self) -> Result<(), Vec<ContractFault>> {
+        let target_names = match &self.target {
+            StopTarget::Endpoint(_) => vec![],
+            StopTarget::Rack(domain, rack) => {
+                vec![
+                    ("target.rack", domain.as_str()),
+                    ("target.rack", rack.as_str()),
+                ]
+            }
+            StopTarget::Domain(domain) => vec![("target.domain", domain.as_str())],
+        };
+        let faults: Vec<ContractFault> = [("id", self.id.0.as_str())]
+            .into_iter()
+            .chain(target_names)
+            .filter(|(_, name)| !is_valid_name(name))
+            .map(|(field, _)| ContractFault {
+                field: field.to_owned(),
+                kind: FaultKind::BadName,
+            })
+            .collect();
+        match faults.is_empty() {
+            true => Ok(()),
+            false => Err(faults),
+        }
+    }
+}
