Serve and call HTTP within limits, read settings, set up logs and counters

Cause: every role needs HTTP at its edge, checked settings and telemetry. tiny_http's own server starts a thread for each connection, reads a head of any size for any time, and ends its accept loop on the first failed accept. Change: hemlock_http accepts and bounds connections itself (count, head, body, buffered bytes, read, write and idle time) and keeps tiny_http as the codec; a waiting request holds no thread. The client over attohttpc tells a request that was never sent from one that may have run. hemlock_settings reports every wrong field of a file at once, with its line and the way to mend it. hemlock_telemetry writes JSON lines, renders counters, and reads and writes traceparent.

--- /dev/null
+++ b/crates/hemlock_http/src/response.rs
@@ -0,0 +1,104 @@
+//! An answer, and how it is written.
+
+use std::io::Cursor;
+
+use bytes::Bytes;
+use serde::Serialize;
+use tiny_http::{HTTPVersion, Header, Response, StatusCode};
+
+/// Content type of a JSON body.
+const JSON: &str = "application/json";
+
+/// An answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpResponse {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers besides length and date.
+    pub headers: Vec<(String, String)>,
+    /// Body, whole.
+    pub body: Bytes,
+}
+
+impl HttpResponse {
+    /// An answer without a body.
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// An answer with a JSON body; 500 when the value has no JSON form.
+    pub fn json<T: Serialize + ?Sized>(status: u16, value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::new(status).with_body(body, JSON),
+            Err(_) => Self::error(500, "internal", "the answer has no JSON form"),
+        }
+    }
+
+    /// An answer with the body `{"error": code, "message": message}`.
+    pub fn error(status: u16, code: &str, message: &str) -> Self {
+        let value = serde_json::json!({ "error": code, "message": message });
+        Self::new(status).with_body(value.to_string(), JSON)
+    }
+
+    /// A plain text answer.
+    pub fn text(status: u16, text: impl Into<String>) -> Self {
+        Self::new(status).with_body(text.into(), "text/plain; charset=utf-8")
+    }
+
+    /// Adds a header. Bytes that a header can't carry are replaced by `?`.
+    #[must_use]
+    pub fn with_header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Sets the body and its content type; an empty content type sets no header.
+    #[must_use]
+    pub fn with_body(mut self, body: impl Into<Bytes>, content_type: &str) -> Self {
+        self.body = body.into();
+        if content_type.is_empty() {
+            return self;
+        }
+        self.with_header("Content-Type", content_type)
+    }
+
+    /// The answer as bytes on the connection.
+    pub(crate) fn into_bytes(self, head_only: bool, close: bool) -> Vec<u8> {
+        let length = self.body.len();
+        let mut headers: Vec<Header> = self
+            .headers
+            .iter()
+            .filter_map(|(name, value)| header(name, value))
+            .collect();
+        if close {
+            headers.extend(header("Connection", "close"));
+        }
+        let response = Response::new(
+            StatusCode(self.status),
+            headers,
+            Cursor::new(self.body),
+            Some(length),
+            None,
+        )
+        .with_chunked_threshold(usize::MAX);
+        let mut bytes = Vec::with_capacity(length + 256);
+        response
+            .raw_print(&mut bytes, HTTPVersion(1, 1), &[], head_only, None)
+            .expect("writing to memory does not fail");
+        bytes
+    }
+}
+
+/// A header with printable characters only; `None` for an impossible name.
+fn header(name: &str, value: &str) -> Option<Header> {
+    let printable = |byte: u8| match byte {
+        b' '..=b'~' => byte,
+        _ => b'?',
+    };
+    let value: Vec<u8> = value.bytes().map(printable).collect();
+    Header::from_bytes(name.as_bytes(), value).ok()
+}
--- /dev/null
+++ b/crates/hemlock_settings/src/agent.rs
@@ -0,0 +1,127 @@
+//! Settings of `hemlock-agent`.
+
+use std::net::SocketAddr;
+
+use hemlock_types::prelude::*;
+
+use crate::document::Settings;
+use crate::fault::Problem;
+use crate::secret::SecretKey;
+use crate::section::Section;
+use crate::{ADDRESS, KEEPERS_MAX, cluster_key};
+
+/// Time that outcomes are kept when settings name none, in milliseconds.
+const DEFAULT_RETENTION_MS: u64 = 600_000;
+/// Shortest time that outcomes may be kept, in milliseconds.
+const RETENTION_MIN_MS: u64 = 1_000;
+/// Longest time that outcomes may be kept, in milliseconds.
+const RETENTION_MAX_MS: u64 = 86_400_000;
+/// Most slots of one endpoint.
+const SLOTS_MAX: u64 = 4_096;
+/// Most connections to one endpoint.
+const CONNECTIONS_MAX: u64 = 16_384;
+/// Most processor cores of one worker.
+const CORES_MAX: u64 = 4_096;
+/// Most memory of one worker, in megabytes.
+const MEMORY_MAX_MB: u64 = 64 * 1024 * 1024;
+
+/// Settings of one agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Name of the cluster; processes of another cluster are refused.
+    pub cluster: String,
+    /// Secret that the cluster's processes prove to each other.
+    pub cluster_key: SecretKey,
+    /// Address for entries.
+    pub wire_address: SocketAddr,
+    /// Address for the endpoint instance, health checks and metrics.
+    pub http_address: SocketAddr,
+    /// Failure domain that this agent stands in.
+    pub domain: DomainName,
+    /// Rack that its worker stands in.
+    pub rack: RackName,
+    /// Wire addresses of the keepers.
+    pub keepers: Vec<SocketAddr>,
+    /// Processor cores of its worker.
+    pub cores: u32,
+    /// Memory of its worker, in megabytes.
+    pub memory_mb: u64,
+    /// How long outcomes are kept for resubmissions, in milliseconds.
+    pub retention_ms: u64,
+    /// Endpoint to announce at start; without it, the endpoint instance announces itself.
+    pub endpoint: Option<EndpointSettings>,
+}
+
+/// One endpoint instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointSettings {
+    /// Service that it offers.
+    pub service: ServiceName,
+    /// Tasks that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes at once.
+    pub connections: u32,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+}
+
+impl Settings for AgentSettings {
+    fn read(section: &mut Section<'_>) -> Option<Self> {
+        let cluster = section.required_name("cluster");
+        let cluster_key = cluster_key(section);
+        let wire_address = section.required("wire_address", ADDRESS);
+        let http_address = section.required("http_address", ADDRESS);
+        let domain = section.required_name("domain");
+        let rack = section.required_name("rack");
+        let keepers = section.required_list("keepers", 1, KEEPERS_MAX, ADDRESS);
+        let cores = section.required_number("cores", 1, CORES_MAX);
+        let memory_mb = section.required_number("memory_mb", 1, MEMORY_MAX_MB);
+        let retention_ms = section.optional_number(
+            "retention_ms",
+            DEFAULT_RETENTION_MS,
+            RETENTION_MIN_MS,
+            RETENTION_MAX_MS,
+        );
+        let endpoint = section.optional_section(
+            "endpoint",
+            "the fields service, slots, connections and address",
+            EndpointSettings::read,
+        );
+        Some(Self {
+            cluster: cluster?,
+            cluster_key: cluster_key?,
+            wire_address: wire_address?,
+            http_address: http_address?,
+            domain: domain?,
+            rack: rack?,
+            keepers: keepers?,
+            cores: u32::try_from(cores?).ok()?,
+            memory_mb: memory_mb?,
+            retention_ms: retention_ms?,
+            endpoint: endpoint?,
+        })
+    }
+}
+
+impl Settings for EndpointSettings {
+    fn read(section: &mut Section<'_>) -> Option<Self> {
+        let service = section.required_name("service");
+        let slots = section.required_number("slots", 1, SLOTS_MAX);
+        let connections = section.required_number("connections", 1, CONNECTIONS_MAX);
+        let address = section.required("address", ADDRESS);
+        let enough = connections
+            .zip(slots)
+            .is_none_or(|(have, need)| have >= need);
+        section.check(
+            enough,
+            "connections",
+            Problem::Conflict("fewer than slots; each slot needs a connection"),
+        );
+        Some(Self {
+            service: service?,
+            slots: u32::try_from(slots?).ok()?,
+            connections: u32::try_from(connections?).ok()?,
+            address: address?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hemlock_settings/src/secret.rs
@@ -0,0 +1,28 @@
+//! Secrets that never appear in logs.
+
+use std::fmt;
+
+use serde::Deserialize;
+
+/// A shared secret; its `Debug` form hides it.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct SecretKey(String);
+
+impl SecretKey {
+    /// Wraps a secret.
+    pub fn new(secret: impl Into<String>) -> Self {
+        Self(secret.into())
+    }
+
+    /// The secret itself, for proving that it is known.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SecretKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SecretKey(hidden)")
+    }
+}
