Count the bytes on every connection

Cause: control traffic has a budget per node, and nothing measured it. Change: a counting wrapper around both halves of each stream; hemlock_wire_bytes_total by direction.

--- a/crates/hemlock_wire/src/connect.rs
+++ b/crates/hemlock_wire/src/connect.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
+use crate::counted::Counted;
 use crate::error::ConnectError;
 use crate::identity::{ConnectionId, Identity, Peer, role_from_number};
 use crate::link::{ConnectionState, Link, LinkServer};
@@ -189,8 +190,8 @@
     let mut options = capnp::message::ReaderOptions::new();
     options.traversal_limit_in_words(Some(MESSAGE_MAX_WORDS));
     Ok(VatNetwork::new(
-        BufReader::new(reader.compat()),
-        BufWriter::new(writer.compat_write()),
+        BufReader::new(Counted::received(reader.compat())),
+        BufWriter::new(Counted::sent(writer.compat_write())),
         side,
         options,
     ))
--- a/crates/hemlock_wire/src/lib.rs
+++ b/crates/hemlock_wire/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod connect;
+mod counted;
 pub mod error;
 pub mod frame;
 pub mod identity;
