Let an agent advertise another address than it listens on

Change: optional `advertised_address` in the agent's settings. Conclusion: settings read as before without it.

--- a/crates/hemlock_settings/src/agent.rs
+++ b/crates/hemlock_settings/src/agent.rs
@@ -34,6 +34,8 @@
     pub cluster_key: SecretKey,
     /// Address for entries.
     pub wire_address: SocketAddr,
+    /// Address under which entries reach `wire_address`, when a relay stands between them.
+    pub advertised_address: Option<SocketAddr>,
     /// Address for the endpoint instance, health checks and metrics.
     pub http_address: SocketAddr,
     /// Failure domain that this agent stands in.
@@ -70,6 +72,7 @@
         let cluster = section.required_name("cluster");
         let cluster_key = cluster_key(section);
         let wire_address = section.required("wire_address", ADDRESS);
+        let advertised_address = section.optional("advertised_address", None, ADDRESS);
         let http_address = section.required("http_address", ADDRESS);
         let domain = section.required_name("domain");
         let rack = section.required_name("rack");
@@ -91,6 +94,7 @@
             cluster: cluster?,
             cluster_key: cluster_key?,
             wire_address: wire_address?,
+            advertised_address: advertised_address?,
             http_address: http_address?,
             domain: domain?,
             rack: rack?,
