--- a/crates/hemlock_quorum/src/lib.rs
+++ b/crates/hemlock_quorum/src/lib.rs
@@ -19,10 +19,12 @@
 pub mod action;
 pub mod config;
 pub mod disk_work;
+mod durable;
 pub mod entry;
 pub mod error;
 pub mod event;
 pub mod ids;
+mod log;
 pub mod member;
 pub mod message;
 pub mod quorum;
@@ -43,6 +45,6 @@
     pub use crate::message::Message;
     pub use crate::quorum::Quorum;
     pub use crate::snapshot::Snapshot;
-    pub use crate::status::{QuorumStatus, Role};
+    pub use crate::status::{QuorumRole, QuorumStatus};
     pub use crate::storage::{MemoryStorage, Storage, StorageError, perform};
 }
--- /dev/null
+++ b/crates/hemlock_quorum/src/quorum/follower.rs
@@ -0,0 +1,98 @@
+//! What a leader knows of each follower.
+
+use hemlock_types::ids::Incarnation;
+use hemlock_types::time::Instant;
+
+use crate::ids::LogIndex;
+use crate::snapshot::Snapshot;
+
+/// How entries are sent to a follower.
+#[derive(Clone, Debug)]
+pub(crate) enum Mode {
+    /// Ahead of its answers.
+    Stream,
+    /// Empty messages, until one is accepted.
+    Probe,
+    /// A snapshot, piece by piece.
+    Snapshot(Transfer),
+}
+
+/// A snapshot on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Transfer {
+    pub(crate) snapshot: Snapshot,
+    pub(crate) acked_bytes: u64,
+    pub(crate) sent_at: Instant,
+}
+
+/// A leader's view of a follower.
+#[derive(Clone, Debug)]
+pub(crate) struct Follower {
+    pub(crate) incarnation: Incarnation,
+    /// The last entry that it holds durably.
+    pub(crate) matched: LogIndex,
+    /// The next entry to send.
+    pub(crate) next: LogIndex,
+    pub(crate) mode: Mode,
+    /// When the latest message that it has answered was sent.
+    pub(crate) heard: Option<Instant>,
+}
+
+impl Follower {
+    pub(crate) fn new(incarnation: Incarnation, next: LogIndex) -> Self {
+        Self {
+            incarnation,
+            matched: LogIndex::ZERO,
+            next,
+            mode: Mode::Stream,
+            heard: None,
+        }
+    }
+
+    pub(crate) fn is_streaming(&self) -> bool {
+        matches!(self.mode, Mode::Stream)
+    }
+
+    pub(crate) fn is_in_snapshot(&self) -> bool {
+        matches!(self.mode, Mode::Snapshot(_))
+    }
+
+    /// Notes the answer to a message sent at `sent_us`.
+    pub(crate) fn hear(&mut self, echo_us: u64, now: Instant) {
+        if echo_us == 0 {
+            return;
+        }
+        let sent = Instant::from_micros(echo_us).min(now);
+        self.heard = self.heard.max(Some(sent));
+    }
+
+    /// Notes that the follower holds the log durably up to `matched`.
+    pub(crate) fn advance(&mut self, matched: LogIndex) {
+        self.matched = self.matched.max(matched);
+        self.next = self.next.max(self.matched.next());
+        let resume = match &self.mode {
+            Mode::Stream => false,
+            Mode::Probe => self.matched.next() == self.next,
+            Mode::Snapshot(transfer) => self.matched >= transfer.snapshot.head.index,
+        };
+        if resume {
+            self.mode = Mode::Stream;
+            self.next = self.matched.next();
+        }
+    }
+
+    /// Goes back after a refusal, unless that answers an earlier message.
+    pub(crate) fn back_up(&mut self, refused_prev: LogIndex, hint: LogIndex) {
+        let stale = match self.mode {
+            Mode::Stream => refused_prev <= self.matched,
+            Mode::Probe => refused_prev.next() != self.next,
+            Mode::Snapshot(_) => true,
+        };
+        if stale {
+            return;
+        }
+        let next = hint.next().min(refused_prev);
+        self.next = next.max(self.matched.next());
+        self.mode = Mode::Probe;
+    }
+}
--- /dev/null
+++ b/crates/hemlock_quorum/src/quorum/founding.rs
@@ -0,0 +1,136 @@
+//! How a cluster begins, and how a keeper on a new disk makes itself known.
+
+use std::collections::BTreeMap;
+
+use hemlock_types::ids::Incarnation;
+
+use super::{Joiner, Quorum};
+use crate::config::QuorumConfig;
+use crate::disk_work::HardState;
+use crate::entry::{Entry, Payload};
+use crate::ids::{KeeperId, LogIndex, Term};
+use crate::member::{Member, MemberSet};
+use crate::message::{Body, Join, JoinReply};
+
+/// Bits of the founder's incarnation from which the first term is taken.
+const FOUNDING_TERM_MASK: u64 = 0xffff;
+
+/// Callers that are remembered, whoever they are.
+const MAX_JOINERS: usize = 64;
+
+/// Whether this keeper may found the cluster.
+///
+/// Only the founder with the lowest id does, once, when its own disk and those of all other
+/// founders are empty. Each says so in answer to this life of its disk, so that an answer to an
+/// earlier life counts for nothing.
+#[derive(Debug)]
+pub(crate) struct Founding {
+    may_found: bool,
+    empty: bool,
+    answers: BTreeMap<KeeperId, Incarnation>,
+}
+
+impl Founding {
+    pub(crate) fn new(config: &QuorumConfig, empty: bool) -> Self {
+        Self {
+            may_found: empty && config.founders.iter().min() == Some(&config.me),
+            empty,
+            answers: BTreeMap::new(),
+        }
+    }
+
+    /// A cluster exists already, and this disk is about to hold its log.
+    pub(crate) fn give_up(&mut self) {
+        self.may_found = false;
+        self.empty = false;
+    }
+}
+
+impl Quorum {
+    /// Makes this keeper known to all others while no leader talks to it.
+    pub(super) fn call_for_leader(&mut self) {
+        if self.leader.is_some() {
+            return;
+        }
+        let empty = self.founding.empty;
+        for id in self.known_keepers() {
+            self.send(id, None, Body::Join(Join { empty }));
+        }
+    }
+
+    fn known_keepers(&self) -> Vec<KeeperId> {
+        let members = self.log.members().iter().map(|(id, _)| id);
+        let mut known: Vec<_> = self
+            .config
+            .founders
+            .iter()
+            .copied()
+            .chain(members)
+            .filter(|id| *id != self.config.me)
+            .collect();
+        known.sort_unstable();
+        known.dedup();
+        known
+    }
+
+    pub(super) fn on_join(&mut self, from: KeeperId, sender: Incarnation, join: Join) {
+        if !join.empty {
+            self.founding.may_found = false;
+        }
+        if self.joiners.len() < MAX_JOINERS || self.joiners.contains_key(&from) {
+            let called = self.now;
+            let incarnation = sender;
+            self.joiners.insert(
+                from,
+                Joiner {
+                    incarnation,
+                    called,
+                },
+            );
+        }
+        let empty = self.founding.empty;
+        self.send(from, Some(sender), Body::JoinReply(JoinReply { empty }));
+    }
+
+    pub(super) fn on_join_reply(&mut self, from: KeeperId, sender: Incarnation, reply: JoinReply) {
+        match reply.empty {
+            true => {
+                self.founding.answers.insert(from, sender);
+                self.found_if_ready();
+            }
+            false => self.founding.may_found = false,
+        }
+    }
+
+    /// Writes the first entry, which states the founders, once all of them have answered.
+    pub(super) fn found_if_ready(&mut self) {
+        let others = self.known_keepers();
+        let answers = &self.founding.answers;
+        let complete = others.iter().all(|id| answers.contains_key(id));
+        if !self.founding.may_found || !complete {
+            return;
+        }
+        let voters = answers.iter().map(|(id, disk)| (*id, Member::voter(*disk)));
+        let me = (self.config.me, Member::voter(self.config.incarnation));
+        let members = MemberSet::new(voters.chain([me]));
+        self.founding.give_up();
+        self.found(members);
+    }
+
+    /// The first term differs from that of any earlier founding, so that no two logs look alike.
+    fn found(&mut self, members: MemberSet) {
+        assert_eq!(self.log.last_index(), LogIndex::ZERO, "only an empty log");
+        let term = Term(1 + (self.config.incarnation.0 & FOUNDING_TERM_MASK));
+        self.change_hard_state(HardState {
+            term: self.hard.term.max(term),
+            voted_for: None,
+        });
+        self.log.append(Entry {
+            term,
+            index: LogIndex::ZERO.next(),
+            payload: Payload::Members(members),
+        });
+        self.quiet_until = self.now;
+        self.election_at = self.now;
+    }
+}
--- a/crates/hemlock_quorum/src/status.rs
+++ b/crates/hemlock_quorum/src/status.rs
@@ -7,7 +7,7 @@
 
 /// What a keeper does in its term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Role {
+pub enum QuorumRole {
     /// Takes entries from a leader, or waits for one.
     Follower,
     /// Asks whether it would be elected.
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuorumStatus {
     /// What the keeper does.
-    pub role: Role,
+    pub role: QuorumRole,
     /// Its term.
     pub term: Term,
     /// The leader, as far as it knows.
