--- a/crates/hemlock_settings/src/agent.rs
+++ b/crates/hemlock_settings/src/agent.rs
@@ -60,9 +60,9 @@
     /// Service that it offers.
     pub service: ServiceName,
     /// Tasks that it runs at once.
-    pub slots: u32,
+    pub slots: u16,
     /// Connections that it takes at once.
-    pub connections: u32,
+    pub connections: u16,
     /// Where it takes requests.
     pub address: SocketAddr,
 }
@@ -123,8 +123,8 @@
         );
         Some(Self {
             service: service?,
-            slots: u32::try_from(slots?).ok()?,
-            connections: u32::try_from(connections?).ok()?,
+            slots: u16::try_from(slots?).ok()?,
+            connections: u16::try_from(connections?).ok()?,
             address: address?,
         })
     }
--- a/crates/hemlock_settings/src/lib.rs
+++ b/crates/hemlock_settings/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 pub mod agent;
+pub mod contract;
 pub mod document;
 pub mod entry;
 pub mod fault;
