Interpret state charts and decide starts in a pure gate

Cause: nothing decided which starts run at an endpoint. Change: hemlock_chart reads state charts from YAML and checks them when they are read; hemlock_gate decides every start, fence, cancellation and credit as a pure state machine with one enum of events and one of actions.

--- /dev/null
+++ b/crates/hemlock_gate/src/credit.rs
@@ -0,0 +1,461 @@
+//! Credits: the right of an entry to have a start accepted, dealt to where the work is.
+//!
+//! A credit reserves an idle slot for one entry. The book hands idle slots first to entries
+//! that wait, in the order in which they asked, then back to the entry that used the slot
+//! last. A credit that nobody has asked for never blocks anyone: an entry that waits, or that
+//! starts without a credit, takes the reservation of whoever has been idle longest. The loser
+//! is told by a recall, and a start that crosses it on the way is served like any start
+//! without a credit.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use hemlock_types::prelude::*;
+
+use crate::event::LinkId;
+
+/// What a deal changes: credits to grant and to recall, by link.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Deal {
+    /// Credits to grant.
+    pub granted: Vec<(LinkId, u16)>,
+    /// Credits to recall.
+    pub recalled: Vec<(LinkId, u16)>,
+}
+
+impl Deal {
+    fn grant(&mut self, link: LinkId) {
+        count(&mut self.granted, link);
+    }
+
+    fn recall(&mut self, link: LinkId) {
+        count(&mut self.recalled, link);
+    }
+
+    /// Forgets the changes, keeping the memory.
+    pub fn clear(&mut self) {
+        self.granted.clear();
+        self.recalled.clear();
+    }
+}
+
+fn count(counts: &mut Vec<(LinkId, u16)>, link: LinkId) {
+    match counts.iter_mut().find(|(known, _)| *known == link) {
+        Some((_, number)) => *number += 1,
+        None => counts.push((link, 1)),
+    }
+}
+
+/// Who the idle slots of a deal may go to when nobody waits for them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spare {
+    /// Nobody: they stay unreserved.
+    Keep,
+    /// The link whose task has just ended.
+    To(LinkId),
+    /// Every link in turn.
+    Spread,
+}
+
+/// A rule that deals idle slots to the entries' links.
+pub trait CreditPolicy: Send {
+    /// An entry has connected.
+    fn open(&mut self, link: LinkId);
+    /// A link is closed; its credits are void.
+    fn close(&mut self, link: LinkId);
+    /// The link is silent: its credits are recalled and it gets none until it is heard.
+    fn silence(&mut self, link: LinkId, out: &mut Deal);
+    /// The silent link is heard again.
+    fn hear(&mut self, link: LinkId);
+    /// The entry has `count` tasks waiting.
+    fn want(&mut self, now: Instant, link: LinkId, count: u16);
+    /// A start has arrived; it uses a credit if the link holds one. Says whether it did.
+    fn consume(&mut self, now: Instant, link: LinkId) -> bool;
+    /// A recall of `asked` credits was answered with `slots` returned.
+    fn returned(&mut self, link: LinkId, asked: u16, slots: u16);
+    /// Deals so that the reservations fit `idle` slots.
+    fn deal(&mut self, now: Instant, idle: u16, spare: Spare, out: &mut Deal);
+    /// Makes every credit and want void.
+    fn void(&mut self);
+    /// Slots reserved now.
+    fn reserved(&self) -> u16;
+    /// Links that wait for a slot.
+    fn waiting(&self) -> usize;
+    /// When a deal may find more to do, if the time alone can change that.
+    fn next_wakeup(&self) -> Option<Instant>;
+}
+
+/// One link's credits.
+#[derive(Debug, Default)]
+struct Account {
+    /// Credits that the entry may believe it holds.
+    held: u16,
+    /// Of these, credits that are being recalled and reserve nothing.
+    recalling: u16,
+    /// Of the reserved ones, credits granted to waiting work that must not be recalled yet.
+    promised: u16,
+    /// Until when.
+    promised_until: Instant,
+    /// Waiting tasks of the entry.
+    want: u16,
+    /// Whether the link stands in the queue of waiting links.
+    queued: bool,
+    /// No credits are dealt to a silent link.
+    silent: bool,
+    /// Last use or grant, which orders the links for recalls.
+    used: Instant,
+    /// Credits ever granted.
+    granted: u64,
+    /// For each recall under way, the credits granted before it.
+    recalls: VecDeque<u64>,
+}
+
+impl Account {
+    fn reserved(&self) -> u16 {
+        self.held - self.recalling
+    }
+
+    /// Reserved credits that may be recalled now.
+    fn spare(&self) -> u16 {
+        self.reserved().saturating_sub(self.promised)
+    }
+
+    fn settle_bounds(&mut self) {
+        self.recalling = self.recalling.min(self.held);
+        self.promised = self.promised.min(self.reserved());
+    }
+}
+
+/// Deals idle slots ahead of demand and moves them to where it is; see the module's text.
+#[derive(Debug)]
+pub struct DealtCredits {
+    accounts: HashMap<LinkId, Account>,
+    /// Waiting links in the order in which they asked.
+    waiting: VecDeque<LinkId>,
+    /// Links with spare credits, the longest idle first.
+    spare: BTreeSet<(Instant, LinkId)>,
+    /// Links with promised credits, in the order in which the promises end.
+    promises: VecDeque<(Instant, LinkId)>,
+    /// Links in the order in which spare slots are spread.
+    turn: VecDeque<LinkId>,
+    reserved: u16,
+    promise: DurationMs,
+}
+
+impl DealtCredits {
+    /// A book whose asked-for credits can't be recalled for `promise`.
+    pub fn new(promise: DurationMs) -> Self {
+        Self {
+            accounts: HashMap::new(),
+            waiting: VecDeque::new(),
+            spare: BTreeSet::new(),
+            promises: VecDeque::new(),
+            turn: VecDeque::new(),
+            reserved: 0,
+            promise,
+        }
+    }
+
+    /// Changes one account and keeps the order of spare credits and the sum in step with it.
+    fn change<R>(&mut self, link: LinkId, edit: impl FnOnce(&mut Account) -> R) -> Option<R> {
+        let account = self.accounts.get_mut(&link)?;
+        let (reserved, spare, used) = (account.reserved(), account.spare(), account.used);
+        let result = edit(account);
+        account.settle_bounds();
+        self.reserved = self.reserved - reserved + account.reserved();
+        let moved = used != account.used || (spare > 0) != (account.spare() > 0);
+        if moved && spare > 0 {
+            self.spare.remove(&(used, link));
+        }
+        if moved && account.spare() > 0 {
+            self.spare.insert((account.used, link));
+        }
+        Some(result)
+    }
+
+    fn grant(&mut self, now: Instant, link: LinkId, promised: bool, out: &mut Deal) {
+        let until = now + self.promise;
+        self.change(link, |account| {
+            account.held += 1;
+            account.granted += 1;
+            account.used = now;
+            if promised {
+                account.promised += 1;
+                account.promised_until = until;
+            }
+        });
+        if promised {
+            self.promises.push_back((until, link));
+        }
+        out.grant(link);
+    }
+
+    fn recall(&mut self, link: LinkId, out: &mut Deal) {
+        self.change(link, |account| account.recalling += 1);
+        out.recall(link);
+    }
+
+    fn end_promises(&mut self, now: Instant) {
+        while let Some((until, link)) = self.promises.front().copied() {
+            if until > now {
+                return;
+            }
+            self.promises.pop_front();
+            self.change(link, |account| {
+                if account.promised_until <= now {
+                    account.promised = 0;
+                }
+            });
+        }
+    }
+
+    /// The link that has waited longest, without those that no longer wait.
+    fn first_waiting(&mut self) -> Option<LinkId> {
+        while let Some(link) = self.waiting.front().copied() {
+            let waits = self
+                .accounts
+                .get(&link)
+                .is_some_and(|account| account.want > 0 && !account.silent);
+            if waits {
+                return Some(link);
+            }
+            self.waiting.pop_front();
+            if let Some(account) = self.accounts.get_mut(&link) {
+                account.queued = false;
+            }
+        }
+        None
+    }
+
+    /// Grants one credit to the link that has waited longest and moves it to the back.
+    fn serve_waiting(&mut self, now: Instant, link: LinkId, out: &mut Deal) {
+        self.grant(now, link, true, out);
+        self.waiting.pop_front();
+        let Some(account) = self.accounts.get_mut(&link) else {
+            return;
+        };
+        account.want -= 1;
+        account.queued = account.want > 0;
+        if account.queued {
+            self.waiting.push_back(link);
+        }
+    }
+
+    /// Recalls until the reservations fit, the longest idle first; promises last.
+    fn shrink(&mut self, idle: u16, out: &mut Deal) {
+        while self.reserved > idle {
+            let spare = self.spare.first().map(|(_, link)| *link);
+            let holder = spare.or_else(|| self.any_promised());
+            let Some(link) = holder else {
+                return;
+            };
+            self.recall(link, out);
+        }
+    }
+
+    /// The link whose promise is the newest.
+    fn any_promised(&mut self) -> Option<LinkId> {
+        while let Some((_, link)) = self.promises.back().copied() {
+            let holds = self
+                .accounts
+                .get(&link)
+                .is_some_and(|account| account.reserved() > 0);
+            if holds {
+                return Some(link);
+            }
+            self.promises.pop_back();
+        }
+        None
+    }
+
+    /// Gives spare credits of idle links to waiting ones.
+    fn move_to_waiting(&mut self, now: Instant, out: &mut Deal) {
+        while let Some(waiting) = self.first_waiting() {
+            let holder = self
+                .spare
+                .iter()
+                .map(|(_, link)| *link)
+                .find(|link| *link != waiting);
+            let Some(holder) = holder else {
+                return;
+            };
+            self.recall(holder, out);
+            self.serve_waiting(now, waiting, out);
+        }
+    }
+
+    /// Deals slots that nobody waits for to every link in turn.
+    fn spread(&mut self, now: Instant, mut free: u16, out: &mut Deal) {
+        for _ in 0..self.turn.len() * usize::from(free) {
+            let Some(link) = self.turn.pop_front() else {
+                return;
+            };
+            let Some(account) = self.accounts.get(&link) else {
+                continue;
+            };
+            self.turn.push_back(link);
+            if account.silent {
+                continue;
+            }
+            self.grant(now, link, false, out);
+            free -= 1;
+            if free == 0 {
+                return;
+            }
+        }
+    }
+
+    fn drop_account(&mut self, link: LinkId) {
+        self.change(link, |account| {
+            account.held = 0;
+            account.recalling = 0;
+            account.want = 0;
+            account.recalls.clear();
+        });
+    }
+}
+
+impl CreditPolicy for DealtCredits {
+    fn open(&mut self, link: LinkId) {
+        self.accounts.insert(link, Account::default());
+        self.turn.push_front(link);
+    }
+
+    fn close(&mut self, link: LinkId) {
+        self.drop_account(link);
+        self.accounts.remove(&link);
+        self.turn.retain(|known| *known != link);
+        self.waiting.retain(|known| *known != link);
+    }
+
+    fn silence(&mut self, link: LinkId, out: &mut Deal) {
+        let reserved = self.change(link, |account| {
+            let reserved = account.reserved();
+            account.silent = true;
+            account.recalling = account.held;
+            reserved
+        });
+        let lost = reserved.unwrap_or(0);
+        if lost > 0 {
+            out.recalled.push((link, lost));
+        }
+    }
+
+    fn hear(&mut self, link: LinkId) {
+        self.change(link, |account| account.silent = false);
+    }
+
+    fn want(&mut self, now: Instant, link: LinkId, count: u16) {
+        self.end_promises(now);
+        let Some(account) = self.accounts.get_mut(&link) else {
+            return;
+        };
+        account.want = count;
+        if count > 0 && !account.queued {
+            account.queued = true;
+            self.waiting.push_back(link);
+        }
+    }
+
+    fn consume(&mut self, now: Instant, link: LinkId) -> bool {
+        let used = self.change(link, |account| {
+            let used = account.held > 0;
+            account.held = account.held.saturating_sub(1);
+            account.promised = account.promised.saturating_sub(1);
+            account.used = now;
+            used
+        });
+        used.unwrap_or(false)
+    }
+
+    fn returned(&mut self, link: LinkId, asked: u16, slots: u16) {
+        self.change(link, |account| {
+            let granted_before = account.recalls.pop_front().unwrap_or(account.granted);
+            let granted_since = account.granted - granted_before;
+            account.held = account.held.saturating_sub(slots);
+            account.recalling = account.recalling.saturating_sub(asked);
+            if slots < asked {
+                let possible = u16::try_from(granted_since).unwrap_or(u16::MAX);
+                account.held = account.held.min(possible);
+            }
+        });
+    }
+
+    fn deal(&mut self, now: Instant, idle: u16, spare: Spare, out: &mut Deal) {
+        self.end_promises(now);
+        self.shrink(idle, out);
+        while self.reserved < idle {
+            let Some(link) = self.first_waiting() else {
+                break;
+            };
+            self.serve_waiting(now, link, out);
+        }
+        self.move_to_waiting(now, out);
+        let free = idle.saturating_sub(self.reserved);
+        match spare {
+            Spare::To(link) if free > 0 && self.accounts.get(&link).is_some_and(|a| !a.silent) => {
+                self.grant(now, link, false, out);
+            }
+            Spare::Spread if free > 0 => self.spread(now, free, out),
+            _ => {}
+        }
+        for (link, _) in &out.recalled {
+            if let Some(account) = self.accounts.get_mut(link) {
+                account.recalls.push_back(account.granted);
+            }
+        }
+        assert!(
+            self.reserved <= idle,
+            "more slots are reserved than are idle"
+        );
+    }
+
+    fn void(&mut self) {
+        let links: Vec<_> = self.accounts.keys().copied().collect();
+        for link in links {
+            self.drop_account(link);
+        }
+        self.promises.clear();
+    }
+
+    fn reserved(&self) -> u16 {
+        self.reserved
+    }
+
+    fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn next_wakeup(&self) -> Option<Instant> {
+        match self.waiting.is_empty() {
+            true => None,
+            false => self.promises.front().map(|(until, _)| *until),
+        }
+    }
+}
+
+/// Grants nothing: a start is accepted when a slot happens to be idle. The baseline.
+#[derive(Debug, Default)]
+pub struct NoCredits;
+
+impl CreditPolicy for NoCredits {
+    fn open(&mut self, _link: LinkId) {}
+    fn close(&mut self, _link: LinkId) {}
+    fn silence(&mut self, _link: LinkId, _out: &mut Deal) {}
+    fn hear(&mut self, _link: LinkId) {}
+    fn want(&mut self, _now: Instant, _link: LinkId, _count: u16) {}
+    fn consume(&mut self, _now: Instant, _link: LinkId) -> bool {
+        false
+    }
+    fn returned(&mut self, _link: LinkId, _asked: u16, _slots: u16) {}
+    fn deal(&mut self, _now: Instant, _idle: u16, _spare: Spare, _out: &mut Deal) {}
+    fn void(&mut self) {}
+    fn reserved(&self) -> u16 {
+        0
+    }
+    fn waiting(&self) -> usize {
+        0
+    }
+    fn next_wakeup(&self) -> Option<Instant> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/hemlock_gate/src/gate.rs
@@ -0,0 +1,505 @@
+//! The gate itself: every event, and the invariants that hold after each.
+
+use std::collections::HashMap;
+
+use hemlock_chart::prelude::*;
+use hemlock_types::prelude::*;
+
+use crate::arena::Key;
+use crate::config::GateConfig;
+use crate::counters::{Counters, GateStatus, Refusal};
+use crate::credit::{CreditPolicy, Deal, DealtCredits, Spare};
+use crate::endpoint::{EndpointEvent, EndpointPhase, Offer, endpoint_chart};
+use crate::entries::Entries;
+use crate::event::{Action, Actions, CallId, Event, LinkId, RunKey};
+use crate::memory::Memory;
+use crate::task::{Task, TaskEvent, TaskPhase, Waiter, task_chart};
+
+/// Decides which starts run at one endpoint instance. See the crate's text.
+pub struct Gate {
+    pub(crate) config: GateConfig,
+    chart: Chart<EndpointPhase, EndpointEvent>,
+    phase: EndpointPhase,
+    offer: Option<Offer>,
+    running: u16,
+    waiting_starts: HashMap<Waiter, Key>,
+    memory: Memory,
+    entries: Entries,
+    credits: Box<dyn CreditPolicy>,
+    deal: Deal,
+    counters: Counters,
+}
+
+impl Gate {
+    /// A gate without an endpoint that deals credits.
+    ///
+    /// # Errors
+    /// A fault in one of the state charts' files.
+    pub fn new(config: GateConfig) -> Result<Self, ChartError> {
+        let credits = DealtCredits::new(config.promise);
+        Self::with_credits(config, Box::new(credits))
+    }
+
+    /// A gate without an endpoint that deals credits by the given rule.
+    ///
+    /// # Errors
+    /// A fault in one of the state charts' files.
+    pub fn with_credits(
+        config: GateConfig,
+        credits: Box<dyn CreditPolicy>,
+    ) -> Result<Self, ChartError> {
+        let chart = endpoint_chart()?;
+        Ok(Self {
+            config,
+            phase: chart.initial(),
+            chart,
+            offer: None,
+            running: 0,
+            waiting_starts: HashMap::new(),
+            memory: Memory::new(config, task_chart()?),
+            entries: Entries::default(),
+            credits,
+            deal: Deal::default(),
+            counters: Counters::default(),
+        })
+    }
+
+    /// Takes one event and appends what is to be done.
+    ///
+    /// # Panics
+    /// Panics if an invariant is broken: more tasks run than there are slots, a task of a
+    /// submission starts twice, or something starts that must not.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Actions) {
+        let first = out.len();
+        let spare = self.dispatch(now, event, out);
+        self.deal(now, first, spare, out);
+    }
+
+    /// When a [`Event::Tick`] may find something to do before the next second has passed.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.credits.next_wakeup()
+    }
+
+    /// Totals since the gate was made.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// What the gate is doing now.
+    pub fn status(&self) -> GateStatus {
+        GateStatus {
+            phase: self.phase,
+            slots: self.capacity(),
+            running: self.running,
+            reserved: self.credits.reserved(),
+            waiting: self.credits.waiting(),
+            tasks: self.memory.tasks(),
+            submissions: self.memory.submissions(),
+            outcome_bytes: self.memory.outcome_bytes(),
+        }
+    }
+
+    /// What the endpoint instance offers, while one is announced.
+    pub fn offer(&self) -> Option<&Offer> {
+        self.offer.as_ref()
+    }
+
+    fn dispatch(&mut self, now: Instant, event: Event, out: &mut Actions) -> Spare {
+        match event {
+            Event::Opened { link, entry } => self.open(link, entry, out),
+            Event::Closed { link } => self.close(now, link),
+            Event::Silent { link } => self.silence(link),
+            Event::Heard { link } => self.hear(link),
+            Event::Announced(offer) => self.announce(offer),
+            Event::Withdrawn => self.withdraw(),
+            Event::Unreachable => self.step(EndpointEvent::Unreachable),
+            Event::Reached => self.step(EndpointEvent::Reached),
+            Event::Drain => self.leave(EndpointEvent::Drain, out),
+            Event::Lift => self.lift(),
+            Event::Stop => self.leave(EndpointEvent::Stop, out),
+            Event::Start { link, spec } => self.start(now, link, spec, out),
+            Event::Want { link, call, count } => self.want(now, link, call, count, out),
+            Event::Fence {
+                call,
+                submission,
+                epoch,
+            } => self.fence(now, call, submission, epoch, out),
+            Event::Cancel {
+                link,
+                call,
+                requests,
+            } => self.cancel(link, call, requests, out),
+            Event::Returned { link, asked, slots } => self.take_back(link, asked, slots),
+            Event::Ended {
+                run,
+                outcome,
+                service_us,
+            } => self.end(now, run, outcome, service_us, out),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    fn open(&mut self, link: LinkId, entry: Incarnation, out: &mut Actions) -> Spare {
+        self.entries.open(link, entry);
+        self.credits.open(link);
+        if self.phase.is_leaving() {
+            out.push(Action::Leaving { link });
+        }
+        Spare::Spread
+    }
+
+    fn close(&mut self, now: Instant, link: LinkId) -> Spare {
+        self.entries.close(now, link);
+        self.credits.close(link);
+        Spare::Spread
+    }
+
+    fn silence(&mut self, link: LinkId) -> Spare {
+        self.credits.silence(link, &mut self.deal);
+        Spare::Spread
+    }
+
+    fn hear(&mut self, link: LinkId) -> Spare {
+        self.credits.hear(link);
+        Spare::Spread
+    }
+
+    fn announce(&mut self, offer: Offer) -> Spare {
+        self.offer = Some(offer);
+        self.step(EndpointEvent::Announce)
+    }
+
+    fn withdraw(&mut self) -> Spare {
+        self.offer = None;
+        self.step(EndpointEvent::Withdraw)
+    }
+
+    fn lift(&mut self) -> Spare {
+        self.step(EndpointEvent::Lift);
+        match self.offer.is_some() {
+            true => self.step(EndpointEvent::Announce),
+            false => Spare::Keep,
+        }
+    }
+
+    /// Takes no new work from now on and tells every entry.
+    fn leave(&mut self, event: EndpointEvent, out: &mut Actions) -> Spare {
+        let had_left = self.phase.is_leaving();
+        self.step(event);
+        if !had_left {
+            self.credits.void();
+            out.extend(self.entries.links().map(|link| Action::Leaving { link }));
+        }
+        self.finish_drain(out);
+        Spare::Keep
+    }
+
+    fn step(&mut self, event: EndpointEvent) -> Spare {
+        self.phase = self.chart.step(self.phase, event);
+        Spare::Spread
+    }
+
+    fn finish_drain(&mut self, out: &mut Actions) {
+        if self.running > 0 {
+            return;
+        }
+        if let Some(phase) = self.chart.next(self.phase, EndpointEvent::Drained) {
+            self.phase = phase;
+            out.push(Action::Drained);
+        }
+    }
+
+    fn want(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        call: CallId,
+        count: u16,
+        out: &mut Actions,
+    ) -> Spare {
+        if !self.phase.is_leaving() {
+            self.credits.want(now, link, count);
+        }
+        out.push(Action::Granted {
+            link,
+            call,
+            slots: 0,
+        });
+        Spare::Keep
+    }
+
+    fn fence(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        submission: SubmissionId,
+        epoch: Epoch,
+        out: &mut Actions,
+    ) -> Spare {
+        out.push(match self.memory.raise_fence(now, submission, epoch) {
+            true => Action::Fenced {
+                call,
+                tasks: self.memory.records(submission),
+            },
+            false => Action::FenceRefused { call },
+        });
+        Spare::Keep
+    }
+
+    fn cancel(
+        &mut self,
+        link: LinkId,
+        call: CallId,
+        requests: Vec<RequestId>,
+        out: &mut Actions,
+    ) -> Spare {
+        let outcomes = requests
+            .into_iter()
+            .map(|request| (request, self.cancel_one(link, request)))
+            .collect();
+        out.push(Action::Cancelled { call, outcomes });
+        Spare::Keep
+    }
+
+    fn cancel_one(&mut self, link: LinkId, request: RequestId) -> Option<Outcome> {
+        if let Some(key) = self.waiting_starts.get(&Waiter { link, request }).copied() {
+            if self.memory.advance(key, TaskEvent::Cancel) {
+                self.counters.withdrawn += 1;
+            }
+            return None;
+        }
+        if !self.entries.revoke(link, request, self.config.max_revoked) {
+            return None;
+        }
+        self.counters.revoked += 1;
+        Some(Refusal::Revoked.outcome())
+    }
+
+    fn take_back(&mut self, link: LinkId, asked: u16, slots: u16) -> Spare {
+        self.credits.returned(link, asked, slots);
+        Spare::Spread
+    }
+
+    fn tick(&mut self, now: Instant) -> Spare {
+        self.memory.expire(now);
+        self.entries.expire(now, self.config.retention);
+        Spare::Spread
+    }
+
+    fn start(&mut self, now: Instant, link: LinkId, spec: TaskSpec, out: &mut Actions) -> Spare {
+        let request = spec.request;
+        let revoked = self.entries.arrive(link, request);
+        if self.credits.consume(now, link) {
+            self.counters.with_credit += 1;
+        }
+        let waiter = Waiter { link, request };
+        if self.waiting_starts.contains_key(&waiter) {
+            self.counters.duplicates += 1;
+            return Spare::Keep;
+        }
+        if let Some(key) = self.started_before(&spec) {
+            self.counters.duplicates += 1;
+            self.join(key, waiter, out);
+            return Spare::Keep;
+        }
+        match self.admit(now, &spec, revoked) {
+            Ok(offer) => self.run(waiter, offer, spec, out),
+            Err(refusal) => {
+                self.counters.refused[refusal as usize] += 1;
+                out.push(settle(waiter, refusal.outcome(), 0));
+            }
+        }
+        Spare::Keep
+    }
+
+    fn started_before(&self, spec: &TaskSpec) -> Option<Key> {
+        self.memory.find(spec.submission?, spec.task)
+    }
+
+    /// Answers a repeated start with the recorded outcome, or lets it wait for it.
+    fn join(&mut self, key: Key, waiter: Waiter, out: &mut Actions) {
+        let Some(task) = self.memory.task_mut(key) else {
+            return;
+        };
+        match task.record() {
+            TaskRecord::Running => {
+                task.others.push(waiter);
+                self.waiting_starts.insert(waiter, key);
+            }
+            TaskRecord::Ended(outcome) => out.push(settle(waiter, outcome, 0)),
+        }
+    }
+
+    /// Whether the start may run now.
+    fn admit(&mut self, now: Instant, spec: &TaskSpec, revoked: bool) -> Result<Offer, Refusal> {
+        let fenced = |id| spec.epoch < self.memory.fence(id);
+        match (&self.offer, self.phase) {
+            _ if spec.agent != self.config.agent => Err(Refusal::AnotherIncarnation),
+            _ if revoked => Err(Refusal::Revoked),
+            _ if spec.submission.is_some_and(fenced) => Err(Refusal::Fenced),
+            (_, phase) if phase.is_leaving() => Err(Refusal::Leaving),
+            (Some(offer), EndpointPhase::Serving) => match offer {
+                _ if offer.service != spec.service => Err(Refusal::AnotherService),
+                _ if spec.deadline_ms == 0 => Err(Refusal::Deadline),
+                _ if self.running >= offer.capacity() => Err(Refusal::NoSlot),
+                _ if !self.remember_epoch(now, spec) => Err(Refusal::MemoryFull),
+                _ => self.offer.clone().ok_or(Refusal::NoEndpoint),
+            },
+            _ => Err(Refusal::NoEndpoint),
+        }
+    }
+
+    /// Makes room for the task and raises its submission's fence to its epoch.
+    fn remember_epoch(&mut self, now: Instant, spec: &TaskSpec) -> bool {
+        match spec.submission {
+            _ if !self.memory.has_room() => false,
+            Some(submission) => self.memory.raise_fence(now, submission, spec.epoch),
+            None => true,
+        }
+    }
+
+    fn run(&mut self, first: Waiter, offer: Offer, spec: TaskSpec, out: &mut Actions) {
+        let name = spec.submission.map(|submission| (submission, spec.task));
+        let fence = spec
+            .submission
+            .map_or(spec.epoch, |id| self.memory.fence(id));
+        assert_eq!(
+            self.phase,
+            EndpointPhase::Serving,
+            "a start while not serving"
+        );
+        assert!(spec.epoch >= fence, "a start under a fenced epoch");
+        let key = self.memory.insert(Task {
+            name,
+            phase: TaskPhase::Running,
+            outcome: None,
+            first,
+            others: Vec::new(),
+        });
+        self.waiting_starts.insert(first, key);
+        self.running += 1;
+        self.counters.started += 1;
+        assert!(
+            self.running <= offer.capacity(),
+            "more tasks run than there are slots"
+        );
+        out.push(Action::Run {
+            run: RunKey(key),
+            offer,
+            spec,
+        });
+    }
+
+    fn end(
+        &mut self,
+        now: Instant,
+        run: RunKey,
+        outcome: Outcome,
+        service_us: u64,
+        out: &mut Actions,
+    ) -> Spare {
+        let RunKey(key) = run;
+        let released = matches!(outcome, Outcome::NotRun(..));
+        let event = match released {
+            true => TaskEvent::Release,
+            false => TaskEvent::End,
+        };
+        if !self.memory.advance(key, event) {
+            return Spare::Keep;
+        }
+        let Some(task) = self.memory.task_mut(key) else {
+            return Spare::Keep;
+        };
+        let (first, others) = (task.first, std::mem::take(&mut task.others));
+        self.running -= 1;
+        self.counters.ended += 1;
+        self.settle_waiter(first, &outcome, service_us, out);
+        for waiter in others {
+            self.settle_waiter(waiter, &outcome, service_us, out);
+        }
+        match released {
+            true => {
+                self.counters.released += 1;
+                self.memory.release(key);
+            }
+            false => self.memory.keep_outcome(now, key, outcome),
+        }
+        self.finish_drain(out);
+        Spare::To(first.link)
+    }
+
+    fn settle_waiter(
+        &mut self,
+        waiter: Waiter,
+        outcome: &Outcome,
+        service_us: u64,
+        out: &mut Actions,
+    ) {
+        self.waiting_starts.remove(&waiter);
+        match self.entries.is_open(waiter.link) {
+            true => out.push(settle(waiter, outcome.clone(), service_us)),
+            false => self.counters.unclaimed += 1,
+        }
+    }
+
+    fn capacity(&self) -> u16 {
+        self.offer.as_ref().map_or(0, Offer::capacity)
+    }
+
+    /// Slots that may be reserved: those without a running task while new work starts.
+    fn idle(&self) -> u16 {
+        match self.phase {
+            EndpointPhase::Serving => self.capacity().saturating_sub(self.running),
+            _ => 0,
+        }
+    }
+
+    /// Deals the idle slots. Credits go with an answer of this event where there is one.
+    fn deal(&mut self, now: Instant, first: usize, spare: Spare, out: &mut Actions) {
+        let mut deal = std::mem::take(&mut self.deal);
+        self.credits.deal(now, self.idle(), spare, &mut deal);
+        for (link, slots) in deal.granted.drain(..) {
+            self.counters.granted += u64::from(slots);
+            if !add_to_answer(&mut out[first..], link, slots) {
+                out.push(Action::Grant { link, slots });
+            }
+        }
+        for (link, slots) in deal.recalled.drain(..) {
+            self.counters.recalled += u64::from(slots);
+            out.push(Action::Recall { link, slots });
+        }
+        self.deal = deal;
+    }
+}
+
+fn settle(waiter: Waiter, outcome: Outcome, service_us: u64) -> Action {
+    Action::Settle {
+        link: waiter.link,
+        request: waiter.request,
+        outcome,
+        service_us,
+        granted: 0,
+    }
+}
+
+/// Adds credits to an answer that goes to `link` anyway. Says whether there is one.
+fn add_to_answer(answers: &mut [Action], link: LinkId, credits: u16) -> bool {
+    for answer in answers {
+        match answer {
+            Action::Settle {
+                link: to, granted, ..
+            } if *to == link => {
+                *granted += credits;
+                return true;
+            }
+            Action::Granted {
+                link: to, slots, ..
+            } if *to == link => {
+                *slots += credits;
+                return true;
+            }
+            _ => {}
+        }
+    }
+    false
+}
