Tell a keeper on a new disk who the members are

Cause: a keeper whose disk was lost called the founders only; with the leader among keepers added later, nobody who could take it back in heard of it. Change: the answer to a call names the members, and the keeper calls them too.

--- a/crates/hemlock_quorum/src/message.rs
+++ b/crates/hemlock_quorum/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::Entry;
-use crate::ids::{LogIndex, Term};
+use crate::ids::{KeeperId, LogIndex, Term};
 use crate::snapshot::SnapshotHead;
 
 /// A message from one keeper to another. The transport may lose, repeat, delay and reorder it.
@@ -137,8 +137,10 @@
 }
 
 /// Answers a [`Join`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JoinReply {
     /// Whether the sender's disk has never held a log.
     pub empty: bool,
+    /// The members that the sender knows, one of which may lead.
+    pub members: Vec<KeeperId>,
 }
--- a/crates/hemlock_quorum/src/quorum/founding.rs
+++ b/crates/hemlock_quorum/src/quorum/founding.rs
@@ -1,6 +1,6 @@
 //! How a cluster begins, and how a keeper on a new disk makes itself known.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hemlock_types::ids::Incarnation;
 
@@ -28,6 +28,8 @@
     may_found: bool,
     empty: bool,
     answers: BTreeMap<KeeperId, Incarnation>,
+    /// Keepers that others have named.
+    contacts: BTreeSet<KeeperId>,
 }
 
 impl Founding {
@@ -36,6 +38,7 @@
             may_found: empty && config.founders.iter().min() == Some(&config.me),
             empty,
             answers: BTreeMap::new(),
+            contacts: BTreeSet::new(),
         }
     }
 
@@ -58,18 +61,13 @@
         }
     }
 
-    fn known_keepers(&self) -> Vec<KeeperId> {
+    /// Everyone but this keeper who may know a leader.
+    fn known_keepers(&self) -> BTreeSet<KeeperId> {
         let members = self.log.members().iter().map(|(id, _)| id);
-        let mut known: Vec<_> = self
-            .config
-            .founders
-            .iter()
-            .copied()
-            .chain(members)
-            .filter(|id| *id != self.config.me)
-            .collect();
-        known.sort_unstable();
-        known.dedup();
+        let mut known: BTreeSet<_> = self.config.founders.iter().copied().collect();
+        known.extend(members);
+        known.extend(&self.founding.contacts);
+        known.remove(&self.config.me);
         known
     }
 
@@ -89,10 +87,13 @@
             );
         }
         let empty = self.founding.empty;
-        self.send(from, Some(sender), Body::JoinReply(JoinReply { empty }));
+        let members = self.log.members().iter().map(|(id, _)| id).collect();
+        let reply = JoinReply { empty, members };
+        self.send(from, Some(sender), Body::JoinReply(reply));
     }
 
     pub(super) fn on_join_reply(&mut self, from: KeeperId, sender: Incarnation, reply: JoinReply) {
+        self.note_contacts(reply.members);
         match reply.empty {
             true => {
                 self.founding.answers.insert(from, sender);
@@ -102,15 +103,24 @@
         }
     }
 
+    fn note_contacts(&mut self, members: Vec<KeeperId>) {
+        let contacts = &mut self.founding.contacts;
+        if self.leader.is_none() && contacts.len() + members.len() <= MAX_JOINERS {
+            contacts.extend(members);
+        }
+    }
+
     /// Writes the first entry, which states the founders, once all of them have answered.
     pub(super) fn found_if_ready(&mut self) {
-        let others = self.known_keepers();
         let answers = &self.founding.answers;
-        let complete = others.iter().all(|id| answers.contains_key(id));
+        let mut others = self.config.founders.iter();
+        let complete = others.all(|id| *id == self.config.me || answers.contains_key(id));
         if !self.founding.may_found || !complete {
             return;
         }
-        let voters = answers.iter().map(|(id, disk)| (*id, Member::voter(*disk)));
+        let founders = &self.config.founders;
+        let others = answers.iter().filter(|(id, _)| founders.contains(id));
+        let voters = others.map(|(id, disk)| (*id, Member::voter(*disk)));
         let me = (self.config.me, Member::voter(self.config.incarnation));
         let members = MemberSet::new(voters.chain([me]));
         self.founding.give_up();
--- a/crates/hemlock_quorum/tests/random_runs.rs
+++ b/crates/hemlock_quorum/tests/random_runs.rs
@@ -49,10 +49,8 @@
         sim.step();
     }
     sim.heal();
-    assert!(
-        sim.run_ms(RECOVERY_MS, is_whole),
-        "whole again, seed {seed}"
-    );
+    let whole = sim.run_ms(RECOVERY_MS, is_whole);
+    assert!(whole, "whole again, seed {seed}\n{}", sim.describe());
     let before = sim.model.accepted.len();
     let serves = sim.run_ms(RECOVERY_MS, |sim| sim.model.accepted.len() > before + 50);
     assert!(serves, "serves again, seed {seed}");
--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -235,6 +235,18 @@
         leaders.max().map(|(_, id)| id)
     }
 
+    /// The keepers' state, for a failure's message.
+    pub(crate) fn describe(&self) -> String {
+        let line = |node: &Node| {
+            let status = node.quorum.as_ref().map(Quorum::status);
+            format!(
+                "{} {} {:?} {status:?}\n",
+                node.id, node.incarnation, node.applied
+            )
+        };
+        self.nodes.values().map(line).collect()
+    }
+
     pub(crate) fn next_token(&mut self) -> ProposalToken {
         self.next_token += 1;
         ProposalToken(self.next_token)
