--- /dev/null
+++ b/tools/bench/src/load/mod.rs
@@ -0,0 +1,6 @@
+//! Generated load, the ideal it is compared with, and summaries.
+
+pub(crate) mod caller;
+pub(crate) mod ideal;
+pub(crate) mod summary;
+pub(crate) mod trace;
