Draft the slope measurements with lightweight agents

Cause: the target size must be worked out from slopes measured here. Change: a fleet of announced endpoints over real sockets on one thread, a least-squares fit, and the scenario slopes by endpoints, entries and contracts. Conclusion: not run yet; the roles stand first.

--- a/tools/bench/src/cluster/mod.rs
+++ b/tools/bench/src/cluster/mod.rs
@@ -1,5 +1,6 @@
 //! The programs under test as separate processes, and what stands around them.
 
+pub(crate) mod fleet;
 pub(crate) mod layout;
 pub(crate) mod metrics;
 pub(crate) mod process;
--- a/tools/bench/src/options.rs
+++ b/tools/bench/src/options.rs
@@ -16,6 +16,7 @@
   claims           ledger claims per second by concurrency
   keeper-loss      leading keeper killed under load, then another after its repair
   contract-change  hundreds of racing and resent changes under load
+  slopes           cost of each role by endpoints, entries and contracts
   soak             random failures for minutes, every promise checked from outside
 
 Options
--- a/tools/bench/src/scenario/claims.rs
+++ b/tools/bench/src/scenario/claims.rs
@@ -235,6 +235,7 @@
         config: Version(0),
         directory: (0, 0),
         demand: Vec::new(),
+        shares_seen: 0,
         wait_ms: 0,
         leaving: false,
     }
--- a/tools/bench/src/scenario/mod.rs
+++ b/tools/bench/src/scenario/mod.rs
@@ -6,6 +6,7 @@
 mod keeper_loss;
 mod latency;
 mod policy_run;
+mod slopes;
 mod throughput;
 
 use serde_json::Value;
@@ -34,6 +35,7 @@
         "claims" => claims::run(options),
         "keeper-loss" => keeper_loss::run(options),
         "contract-change" => contract_change::run(options),
+        "slopes" => slopes::run(options),
         other => Err(BenchError::UnknownScenario(other.to_owned())),
     }
 }
