--- a/tools/bench/src/cluster/running.rs
+++ b/tools/bench/src/cluster/running.rs
@@ -1,10 +1,11 @@
 //! A running cluster of separate processes, with stand-in endpoints in the bench itself.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlock_standin::StandinEndpoint;
+use hemlock_standin::{StandinConfig, StandinEndpoint, StandinHost};
 use serde_json::Value;
 use tempfile::TempDir;
 
@@ -14,6 +15,10 @@
 use crate::cluster::relay::{Relays, Silence};
 use crate::error::BenchError;
 
+/// Start of the keys of work that must start once.
+pub(crate) const ONCE_PREFIX: &str = "once-";
+/// Threads that serve the stand-in endpoints.
+const ENDPOINT_THREADS: usize = 2;
 /// Longest time for a cluster to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Pause between looks at a program that is not ready.
@@ -52,6 +57,7 @@
     pub(crate) endpoints: Vec<StandinEndpoint>,
     /// Silence of the relay in front of each agent; empty without relays.
     pub(crate) silences: Vec<Arc<Silence>>,
+    host: StandinHost,
     _relays: Option<Relays>,
     folder: TempDir,
 }
@@ -75,6 +81,7 @@
             agents: Vec::new(),
             endpoints: Vec::new(),
             silences: Vec::new(),
+            host: StandinHost::start(ENDPOINT_THREADS)?,
             _relays: None,
             folder,
         };
@@ -105,7 +112,9 @@
         addresses: &[Addresses],
     ) -> Result<(), BenchError> {
         for (index, at) in addresses.iter().enumerate() {
-            let endpoint = start_endpoint(&self.spec, index)?;
+            let config = StandinConfig::new(self.spec.deployment.service())
+                .with_seed(self.spec.seed + index as u64);
+            let endpoint = self.host.add(config)?;
             let settings =
                 layout::agent_settings(&self.spec, keepers, *at, index, endpoint.address());
             self.endpoints.push(endpoint);
@@ -224,9 +233,37 @@
         counters
     }
 
-    /// Starts of one task beyond its first, as the endpoints saw them.
+    /// How often each key of work that must start once has started, over all endpoints.
+    pub(crate) fn key_starts(&self) -> HashMap<String, u64> {
+        let mut starts = HashMap::new();
+        for endpoint in &self.endpoints {
+            let keys = endpoint.key_starts();
+            for (key, count) in keys
+                .into_iter()
+                .filter(|(key, _)| key.starts_with(ONCE_PREFIX))
+            {
+                *starts.entry(key).or_default() += u64::from(count);
+            }
+        }
+        starts
+    }
+
+    /// Starts beyond the first of what must start once, as all endpoints together saw them.
     pub(crate) fn duplicate_starts(&self) -> u64 {
-        hemlock_standin::duplicate_starts(&self.endpoints)
+        let mut starts: HashMap<(String, String), u64> = HashMap::new();
+        for endpoint in &self.endpoints {
+            for (task, count) in endpoint.task_starts() {
+                *starts.entry(task).or_default() += u64::from(count);
+            }
+            let keys = endpoint.key_starts();
+            for (key, count) in keys
+                .into_iter()
+                .filter(|(key, _)| key.starts_with(ONCE_PREFIX))
+            {
+                *starts.entry((key, String::new())).or_default() += u64::from(count);
+            }
+        }
+        starts.values().map(|count| count - 1).sum()
     }
 
     /// Position of the leading keeper, if one says that it leads.
@@ -242,10 +279,13 @@
     }
 }
 
+/// The relays of a run, with the silence of each.
+type StartedRelays = (Relays, Vec<Arc<Silence>>);
+
 fn start_relays(
     spec: &Spec,
     agents: &mut [Addresses],
-) -> Result<Option<(Relays, Vec<Arc<Silence>>)>, BenchError> {
+) -> Result<Option<StartedRelays>, BenchError> {
     if spec.latency_us == 0 {
         agents.iter_mut().for_each(|at| at.reached = at.wire);
         return Ok(None);
@@ -258,12 +298,6 @@
     Ok(Some((relays, silences)))
 }
 
-fn start_endpoint(spec: &Spec, index: usize) -> Result<StandinEndpoint, BenchError> {
-    let config = hemlock_standin::StandinConfig::new(spec.deployment.service())
-        .with_seed(spec.seed + index as u64);
-    StandinEndpoint::start(config).map_err(|error| BenchError::Standin(error.to_string()))
-}
-
 /// Makes an operator's call to one keeper.
 ///
 /// # Errors
--- a/tools/bench/src/error.rs
+++ b/tools/bench/src/error.rs
@@ -44,8 +44,10 @@
             display("the cluster did not become ready: {what}")
         }
         /// A stand-in endpoint could not start.
-        Standin(reason: String) {
-            display("a stand-in endpoint could not start: {reason}")
+        Standin(source: hemlock_standin::StandinError) {
+            display("{source}")
+            source(source)
+            from()
         }
         /// Figures could not be written.
         Json(source: serde_json::Error) {
--- a/tools/bench/src/load/caller.rs
+++ b/tools/bench/src/load/caller.rs
@@ -9,6 +9,7 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use serde_json::json;
 
+use crate::cluster::running::ONCE_PREFIX;
 use crate::load::trace::TracedTask;
 
 /// Most requests in flight at once.
@@ -157,15 +158,18 @@
         "http://{entry}/v1/services/{}/{}",
         target.service, target.operation
     );
-    let marker = format!("{index}-{}", task.work_ms);
-    let body = json!({ "work_ms": task.work_ms, "echo": marker });
+    let marker = match &target.key_prefix {
+        Some(prefix) => format!("{ONCE_PREFIX}{prefix}-{index}"),
+        None => format!("request-{index}"),
+    };
+    let body = json!({ "work_ms": task.work_ms, "key": marker });
     let mut request = attohttpc::post(url)
         .read_timeout(CALL_TIMEOUT)
         .header("Authorization", format!("Bearer {}", target.key))
         .header("Content-Type", "application/json")
         .header("Hemlock-Deadline-Ms", target.deadline_ms.to_string());
-    if let Some(prefix) = &target.key_prefix {
-        request = request.header("Idempotency-Key", format!("{prefix}-{index}"));
+    if target.key_prefix.is_some() {
+        request = request.header("Idempotency-Key", &marker);
     }
     match request.text(body.to_string()).send() {
         Ok(response) => read_verdict(response, &marker),
@@ -184,7 +188,7 @@
         return Verdict::NoAnswer;
     };
     match outcome.as_str() {
-        "complete" if body.contains(marker) => Verdict::Complete,
+        "complete" if body.contains(&format!("\"{marker}\"")) => Verdict::Complete,
         "complete" => Verdict::WrongBody,
         "failed" => Verdict::Failed,
         "not-run" => Verdict::NotRun,
--- a/tools/bench/src/options.rs
+++ b/tools/bench/src/options.rs
@@ -117,7 +117,7 @@
                 Short('h') | Long("help") => options.help = true,
                 Long("seed") => options.seed = parser.value()?.parse()?,
                 Long("deployment") => {
-                    options.deployment = parser.value()?.parse_with(deployment)?
+                    options.deployment = parser.value()?.parse_with(deployment)?;
                 }
                 Long("load") => options.load = parser.value()?.parse()?,
                 Long("entries") => options.entries = parser.value()?.parse()?,
--- a/tools/bench/src/scenario/faults.rs
+++ b/tools/bench/src/scenario/faults.rs
@@ -3,7 +3,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use hemlock_standin::Fault;
+use hemlock_standin::Faults;
 use serde_json::json;
 
 use crate::cluster::layout::ENDPOINT_SLOTS;
@@ -19,7 +19,7 @@
 /// Time for all policies together, in seconds, unless the options say otherwise.
 const TOTAL_S: u64 = 42;
 /// How much slower the straggling endpoint is.
-const STRAGGLE_FACTOR: f64 = 20.0;
+const STRAGGLE_FACTOR: u32 = 20;
 /// Endpoints that a fault strikes, by position.
 const FAILING: usize = 0;
 const STRAGGLING: usize = 1;
@@ -71,10 +71,14 @@
 fn bring_about_faults(cluster: &mut Cluster, seconds: u64) {
     let fifth = Duration::from_millis(seconds * 1_000 / 5);
     sleep(fifth);
-    cluster.endpoints[FAILING].set_fault(Fault::FailFast);
+    cluster.endpoints[FAILING].set_faults(Faults {
+        fail_percent: 100,
+        ..Faults::default()
+    });
     sleep(fifth);
-    cluster.endpoints[STRAGGLING].set_fault(Fault::Slow {
-        factor: STRAGGLE_FACTOR,
+    cluster.endpoints[STRAGGLING].set_faults(Faults {
+        slow_factor: STRAGGLE_FACTOR,
+        ..Faults::default()
     });
     sleep(fifth);
     cluster.agents[KILLED].process.kill();
--- a/tools/bench/src/scenario/mod.rs
+++ b/tools/bench/src/scenario/mod.rs
@@ -7,6 +7,7 @@
 mod latency;
 mod policy_run;
 mod slopes;
+mod soak;
 mod throughput;
 
 use serde_json::Value;
@@ -36,6 +37,7 @@
         "keeper-loss" => keeper_loss::run(options),
         "contract-change" => contract_change::run(options),
         "slopes" => slopes::run(options),
+        "soak" => soak::run(options),
         other => Err(BenchError::UnknownScenario(other.to_owned())),
     }
 }
