--- a/crates/hemlock_http/src/client.rs
+++ b/crates/hemlock_http/src/client.rs
@@ -17,8 +17,6 @@
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 /// Largest answer body by default, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-/// Room made for a body whose length is not known, in bytes.
-const READ_CHUNK_BYTES: usize = 8 * 1024;
 
 /// Limits of a client.
 #[derive(Clone, Debug)]
@@ -206,10 +204,11 @@
         let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
         let length: Option<u64> = text("content-length").and_then(|value| value.parse().ok());
         let has_no_body = matches!(status.as_u16(), 100..200 | 204 | 304);
+        // The library hides whether an answer without a length came in chunks or ends with the
+        // connection, and only a length shows a cut for certain.
         let expected = match length {
-            _ if has_no_body => Some(0),
-            Some(length) => Some(length),
-            None if text("transfer-encoding").is_some() => None,
+            _ if has_no_body => 0,
+            Some(length) => length,
             None => return Err(HttpClientError::Broken(BrokenReply::NoLength)),
         };
         let body = self.read_body(reader, expected, deadline)?;
@@ -227,27 +226,26 @@
     fn read_body(
         &self,
         reader: impl Read,
-        expected_bytes: Option<u64>,
+        expected_bytes: u64,
         deadline: Instant,
     ) -> Result<Bytes, HttpClientError> {
         let limit = self.config.max_body_bytes;
-        if expected_bytes.is_some_and(|expected| expected > limit as u64) {
-            return Err(HttpClientError::TooLarge(limit));
-        }
-        let room = expected_bytes.and_then(|expected| usize::try_from(expected).ok());
-        let mut body = Vec::with_capacity(room.unwrap_or(READ_CHUNK_BYTES));
-        let read = reader.take(limit as u64 + 1).read_to_end(&mut body);
-        let got_bytes = body.len() as u64;
-        match (read, expected_bytes) {
-            (Err(error), _) => Err(classify_io(error, deadline)),
-            (Ok(_), Some(expected)) if got_bytes < expected && Instant::now() >= deadline => {
-                Err(HttpClientError::Timeout)
-            }
-            (Ok(_), Some(expected)) if got_bytes != expected => Err(HttpClientError::Broken(
-                BrokenReply::Short(expected, got_bytes),
-            )),
-            (Ok(_), None) if body.len() > limit => Err(HttpClientError::TooLarge(limit)),
-            (Ok(_), _) => Ok(Bytes::from(body)),
+        let room = match usize::try_from(expected_bytes) {
+            Ok(room) if room <= limit => room,
+            _ => return Err(HttpClientError::TooLarge(limit)),
+        };
+        let mut body = Vec::with_capacity(room);
+        reader
+            .take(expected_bytes)
+            .read_to_end(&mut body)
+            .map_err(|error| classify_io(error, deadline))?;
+        match body.len() {
+            length if length == room => Ok(Bytes::from(body)),
+            _ if Instant::now() >= deadline => Err(HttpClientError::Timeout),
+            length => Err(HttpClientError::Broken(BrokenReply::Short(
+                expected_bytes,
+                length as u64,
+            ))),
         }
     }
 }
--- a/crates/hemlock_http/src/error.rs
+++ b/crates/hemlock_http/src/error.rs
@@ -63,9 +63,9 @@
         Head(kind: String) {
             display("{kind}")
         }
-        /// It neither gives its length nor is sent in chunks, so a cut can't be seen.
+        /// It does not give its length, so a cut can't be told from its end.
         NoLength {
-            display("its length is not given")
+            display("it has no Content-Length")
         }
         /// Its body ended early.
         Short(expected_bytes: u64, got_bytes: u64) {
--- a/crates/hemlock_http/src/server.rs
+++ b/crates/hemlock_http/src/server.rs
@@ -143,6 +143,7 @@
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
+                biased;
                 _ = stop.wait_for(|stopped| *stopped) => break,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, peer)) => self.admit(stream, peer, &mut connections),
