--- /dev/null
+++ b/crates/hemlock_agent/tests/common/mod.rs
@@ -0,0 +1,203 @@
+//! An agent, a stand-in endpoint, and a fake entry that speaks to the agent over the wire.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use hemlock_settings::prelude::*;
+use hemlock_standin::prelude::*;
+use hemlock_types::prelude::*;
+use hemlock_wire::message::agent::{AgentReply, AgentRequest};
+use hemlock_wire::message::entry::{EntryReply, EntryRequest};
+use hemlock_wire::prelude::*;
+
+pub(crate) const SERVICE: &str = "loovutus-portaal";
+const SECRET: &str = "a secret of the test cluster";
+/// Longest wait for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) fn free(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub(crate) fn settings(endpoint: Option<SocketAddr>, slots: u16) -> AgentSettings {
+    AgentSettings {
+        cluster: "test".to_owned(),
+        cluster_key: SecretKey::new(SECRET),
+        wire_address: free(0),
+        advertised_address: None,
+        http_address: free(0),
+        domain: "harju-1".into(),
+        rack: "rack-1".into(),
+        keepers: vec![free(1)],
+        cores: 4,
+        memory_mb: 1_024,
+        retention_ms: 60_000,
+        endpoint: endpoint.map(|address| EndpointSettings {
+            service: SERVICE.into(),
+            slots,
+            connections: slots,
+            address,
+        }),
+    }
+}
+
+pub(crate) fn standin() -> StandinEndpoint {
+    StandinEndpoint::start(StandinConfig::new(SERVICE)).expect("a free port")
+}
+
+pub(crate) fn submission(name: &str) -> SubmissionId {
+    SubmissionId::derive(&"shelter".into(), name)
+}
+
+/// A start for `agent`; `submission` names its submission, if any.
+pub(crate) fn spec(agent: Incarnation, request: u64, submission: Option<SubmissionId>) -> TaskSpec {
+    TaskSpec {
+        request: RequestId(request),
+        submission,
+        task: TaskIndex(0),
+        epoch: Epoch(u32::from(submission.is_some())),
+        agent,
+        service: SERVICE.into(),
+        operation: "hold".into(),
+        deadline_ms: 10_000,
+        traceparent: Bytes::new(),
+        body: Bytes::from(format!(r#"{{"key":"k{request}","work_ms":0}}"#)),
+    }
+}
+
+pub(crate) fn with_work(mut spec: TaskSpec, work_ms: u64) -> TaskSpec {
+    spec.body = Bytes::from(format!(
+        r#"{{"key":"k{}","work_ms":{work_ms}}}"#,
+        spec.request
+    ));
+    spec
+}
+
+/// What the agent pushed to the fake entry.
+#[derive(Default)]
+pub(crate) struct Pushed(RefCell<Vec<EntryRequest>>);
+
+impl Pushed {
+    pub(crate) fn has(&self, request: EntryRequest) -> bool {
+        self.0.borrow().contains(&request)
+    }
+
+    pub(crate) fn granted(&self) -> u16 {
+        let grants = self.0.borrow();
+        grants
+            .iter()
+            .map(|request| match request {
+                EntryRequest::Grant { slots } => *slots,
+                _ => 0,
+            })
+            .sum()
+    }
+}
+
+impl Service for Pushed {
+    fn answer(
+        &self,
+        _peer: Peer,
+        frame: Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, ServiceError>> {
+        let request: EntryRequest = decode(&frame).expect("a push");
+        self.0.borrow_mut().push(request);
+        let reply = match request {
+            EntryRequest::Recall { .. } => EntryReply::Returned { slots: 0 },
+            _ => EntryReply::Done,
+        };
+        let frame = encode(&reply).map_err(ServiceError::from);
+        futures::future::ready(frame).boxed_local()
+    }
+}
+
+/// A fake entry's connection.
+pub(crate) struct FakeEntry {
+    pub(crate) connection: Connection,
+    pub(crate) pushed: Rc<Pushed>,
+}
+
+impl FakeEntry {
+    pub(crate) async fn connect(address: SocketAddr) -> Self {
+        let identity = Rc::new(Identity {
+            role: Role::Entry,
+            incarnation: Incarnation(rand::random()),
+            id: 0,
+            cluster: "test".to_owned(),
+            key: ClusterKey::new(SECRET),
+        });
+        let pushed = Rc::new(Pushed::default());
+        let service = Rc::clone(&pushed);
+        let connection = connect(address, identity, service, DurationMs::new(5_000))
+            .await
+            .expect("the agent listens");
+        Self { connection, pushed }
+    }
+
+    pub(crate) async fn ask(&self, request: AgentRequest) -> Result<AgentReply, CallError> {
+        let call = self.connection.link.call(&request);
+        tokio::time::timeout(PATIENCE, call)
+            .await
+            .expect("an answer")
+    }
+
+    /// Starts a task and returns its outcome.
+    pub(crate) async fn start(&self, spec: TaskSpec) -> Outcome {
+        let request = spec.request;
+        match self.ask(AgentRequest::Start(spec)).await {
+            Ok(AgentReply::Settled {
+                request: settled,
+                outcome,
+                ..
+            }) => {
+                assert_eq!(settled, request, "the answer to another start");
+                outcome
+            }
+            other => panic!("not settled: {other:?}"),
+        }
+    }
+
+    pub(crate) async fn fence(
+        &self,
+        submission: SubmissionId,
+        epoch: u32,
+    ) -> Vec<(TaskIndex, TaskRecord)> {
+        let epoch = Epoch(epoch);
+        match self.ask(AgentRequest::Fence { submission, epoch }).await {
+            Ok(AgentReply::Fenced { tasks }) => tasks,
+            other => panic!("not fenced: {other:?}"),
+        }
+    }
+}
+
+/// Waits until `done` holds.
+pub(crate) async fn until(what: &str, done: impl Fn() -> bool) {
+    let waiting = async {
+        while !done() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.expect(what);
+}
+
+/// Runs a test's fake entries.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// The whole answer's body, as JSON.
+pub(crate) fn body(outcome: &Outcome) -> serde_json::Value {
+    match outcome {
+        Outcome::Complete(answer) => serde_json::from_slice(&answer.body).expect("JSON"),
+        other => panic!("not complete: {other:?}"),
+    }
+}
--- a/crates/hemlock_standin/src/endpoint.rs
+++ b/crates/hemlock_standin/src/endpoint.rs
@@ -87,7 +87,7 @@
     listener: StdListener,
     shared: Arc<Shared>,
     ending: watch::Receiver<Ending>,
-    ended: mpsc::UnboundedSender<()>,
+    ended: std::sync::mpsc::Sender<()>,
 }
 
 /// How far a stand-in has been told to end.
@@ -147,7 +147,7 @@
             config,
         });
         let (ending, ending_seen) = watch::channel(Ending::No);
-        let (ended, ended_seen) = mpsc::unbounded_channel();
+        let (ended, ended_seen) = std::sync::mpsc::channel();
         let order = Serve {
             listener,
             shared: Arc::clone(&shared),
@@ -261,7 +261,7 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     ending: watch::Sender<Ending>,
-    ended: Mutex<mpsc::UnboundedReceiver<()>>,
+    ended: Mutex<std::sync::mpsc::Receiver<()>>,
     host: Option<StandinHost>,
 }
 
@@ -314,9 +314,9 @@
 
     fn end(&self, ending: Ending) -> Seen {
         self.ending.send_replace(ending);
-        let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        let ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
         // Nothing is received when the thread has ended already.
-        let _ = ended.blocking_recv();
+        let _ = ended.recv();
         self.seen()
     }
 }
