Run keepers: replicated state, leader's records, operators' address

A pure core joins the replicated log with the state that it replicates and with what only a leader holds: entry leases, the directory and the shares. Around it stand a control thread, a disk thread that makes everything that waits durable by one sync, a lane for the wire and the operators' HTTP address. Any keeper takes an operator's call and passes it to the leader; calls that meet no leader are tried again, which is safe because every change can be sent twice. The disk is still held in memory.

--- a/bins/keeper/src/main.rs
+++ b/bins/keeper/src/main.rs
@@ -1,2 +1,60 @@
-//! Program.
-fn main() {}
+//! `hemlock-keeper`: runs one keeper until it is told to stop.
+
+mod arguments;
+mod error;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use hemlock_keeper::{Keeper, KeeperHandle};
+use hemlock_settings::prelude::*;
+use hemlock_telemetry::TelemetryConfig;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use arguments::{Arguments, HELP};
+use error::ProgramError;
+
+/// Time between two looks at signals, in milliseconds.
+const SIGNAL_POLL_MS: u64 = 50;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hemlock-keeper: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run() -> Result<(), ProgramError> {
+    let Arguments::Run { settings } = arguments::read()? else {
+        println!("{HELP}");
+        return Ok(());
+    };
+    let settings: KeeperSettings = load(&settings)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(ProgramError::Signals)?;
+    hemlock_telemetry::start(&TelemetryConfig::default())?;
+    let keeper = Keeper::start(settings)?;
+    tracing::info!(
+        incarnation = %keeper.incarnation(),
+        wire_address = %keeper.wire_address(),
+        http_address = %keeper.http_address(),
+        "started"
+    );
+    wait_for_end(&keeper, &mut signals);
+    keeper.join()?;
+    tracing::info!("ended");
+    Ok(())
+}
+
+/// Returns once the keeper has ended, by a signal's drain or by itself.
+fn wait_for_end(keeper: &KeeperHandle, signals: &mut Signals) {
+    while !keeper.is_finished() {
+        if signals.pending().next().is_some() {
+            keeper.begin_drain();
+        }
+        std::thread::sleep(Duration::from_millis(SIGNAL_POLL_MS));
+    }
+}
--- /dev/null
+++ b/crates/hemlock_keeper/src/core/proposals.rs
@@ -0,0 +1,198 @@
+//! Between the replicated log and the state: proposing, applying, and answering what waited.
+
+use std::collections::BTreeMap;
+
+use hemlock_quorum::prelude::*;
+use hemlock_types::prelude::*;
+
+use super::batch::{Batch, Waiter};
+use super::event::KeeperAction;
+use super::leading::Leading;
+use super::{KeeperCore, UPKEEP_MS};
+use crate::command::{Command, Output};
+use crate::error::{KeeperError, StateError};
+use crate::state::KeeperState;
+
+/// Outputs of the commands applied in one pass, by their place in the log.
+pub(super) type Outputs = BTreeMap<LogIndex, Vec<Output>>;
+
+impl KeeperCore {
+    /// Proposes every waiting batch.
+    pub(super) fn propose_batches(
+        &mut self,
+        now: Instant,
+        inputs: &mut Vec<Event>,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        for batch in self.batches.take() {
+            match self.encode_batch(now, &batch) {
+                Some(command) => inputs.push(self.propose(command, batch.waiters)),
+                None => self.refuse_waiters(now, batch.waiters, &self.not_leader(), out),
+            }
+        }
+    }
+
+    fn encode_batch(&mut self, now: Instant, batch: &Batch) -> Option<bytes::Bytes> {
+        let at_ms = self.leading.as_ref()?.now_ms(now);
+        let command = Command {
+            at_ms,
+            items: batch.items.clone(),
+        };
+        match command.encode() {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                self.failure = Some(error.into());
+                None
+            }
+        }
+    }
+
+    fn propose(&mut self, command: bytes::Bytes, waiters: Vec<Waiter>) -> Event {
+        self.next_proposal += 1;
+        let token = ProposalToken(self.next_proposal);
+        self.proposed.insert(token, waiters);
+        Event::Propose { token, command }
+    }
+
+    /// Asks for a change of the keeper set.
+    pub(super) fn propose_members(&mut self, change: MemberChange, waiter: Waiter) -> Event {
+        self.next_proposal += 1;
+        let token = ProposalToken(self.next_proposal);
+        self.proposed.insert(token, vec![waiter]);
+        Event::ChangeMembers { token, change }
+    }
+
+    /// Does what the log says.
+    pub(super) fn do_action(
+        &mut self,
+        now: Instant,
+        action: Action,
+        inputs: &mut Vec<Event>,
+        outputs: &mut Outputs,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        match action {
+            Action::Send { to, message } => out.push(KeeperAction::Send { to, message }),
+            Action::Persist(work) => out.push(KeeperAction::Persist(work)),
+            Action::Restore(snapshot) => self.restore(&snapshot, out),
+            Action::Apply(entry) => self.apply(now, &entry, outputs, out),
+            Action::TakeSnapshot { index } => self.take_snapshot(index, inputs),
+            Action::ProposalDone { token, result } => {
+                self.finish_proposal(now, token, result, outputs, out);
+            }
+            Action::ReadDone { .. } => {}
+            Action::BecameLeader { term } => self.start_leading(now, term),
+            Action::LostLeadership { .. } => self.stop_leading(now, out),
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot, out: &mut Vec<KeeperAction>) {
+        match KeeperState::decode(&snapshot.data) {
+            Ok(state) => {
+                assert!(
+                    state.config().version() >= self.state.config().version(),
+                    "a snapshot never takes the configuration back"
+                );
+                self.state = state;
+                self.applied = snapshot.head.index;
+                out.push(KeeperAction::KnownKeepers(self.keeper_addresses()));
+            }
+            Err(error) => self.fail(error),
+        }
+    }
+
+    fn fail(&mut self, error: StateError) {
+        self.failure = Some(KeeperError::State(error));
+    }
+
+    fn apply(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        outputs: &mut Outputs,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        assert!(entry.index > self.applied, "entries are applied in order");
+        self.applied = entry.index;
+        let Payload::Command(bytes) = &entry.payload else {
+            return;
+        };
+        let command = match Command::decode(bytes) {
+            Ok(command) => command,
+            Err(error) => return self.fail(error),
+        };
+        let version = Version(entry.index.0);
+        let config = self.state.config().version();
+        let keepers = self.state.keepers().len();
+        outputs.insert(entry.index, self.state.apply(version, command));
+        if self.state.config().version() > config {
+            self.take_new_config(now);
+        }
+        if self.state.keepers().len() != keepers {
+            out.push(KeeperAction::KnownKeepers(self.keeper_addresses()));
+        }
+    }
+
+    fn take_new_config(&mut self, now: Instant) {
+        metrics::gauge!("hemlock_keeper_config_version", "keeper" => self.me.to_string())
+            .set(self.state.config().version().0 as f64);
+        if let Some(leading) = &mut self.leading {
+            leading.take_limits(&self.state);
+            leading.mark_deals(now);
+        }
+    }
+
+    fn take_snapshot(&mut self, index: LogIndex, inputs: &mut Vec<Event>) {
+        match self.state.encode() {
+            Ok(data) => inputs.push(Event::SnapshotTaken { index, data }),
+            Err(error) => self.fail(error),
+        }
+    }
+
+    fn start_leading(&mut self, now: Instant, term: Term) {
+        metrics::counter!("hemlock_keeper_elections_won_total", "keeper" => self.me.to_string())
+            .increment(1);
+        tracing::info!(keeper = self.me.0, term = term.0, "leads");
+        self.leading = Some(Leading::new(now, term.0, &self.state));
+        self.upkeep_due = now + DurationMs::new(UPKEEP_MS);
+    }
+
+    fn stop_leading(&mut self, now: Instant, out: &mut Vec<KeeperAction>) {
+        tracing::info!(keeper = self.me.0, "leads no more");
+        let refusal = self.not_leader();
+        let Some(leading) = self.leading.take() else {
+            return;
+        };
+        let parked = leading.entries.values().filter_map(|entry| entry.parked);
+        let joining = leading.joining.values().map(|(token, _)| *token);
+        let waiting = leading.force_waits.iter().map(|wait| wait.token);
+        let tokens: Vec<_> = parked
+            .map(|parked| parked.token)
+            .chain(joining)
+            .chain(waiting)
+            .collect();
+        for token in tokens {
+            self.reply(now, token, refusal.clone(), out);
+        }
+    }
+
+    fn finish_proposal(
+        &mut self,
+        now: Instant,
+        token: ProposalToken,
+        result: Result<LogIndex, ProposeError>,
+        outputs: &mut Outputs,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let Some(waiters) = self.proposed.remove(&token) else {
+            return;
+        };
+        match result {
+            Ok(index) => {
+                let outputs = outputs.remove(&index).unwrap_or_default();
+                self.answer_waiters(now, waiters, outputs, out);
+            }
+            Err(error) => self.refuse_proposal(now, waiters, error, out),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlock_keeper/src/shell/disk.rs
@@ -0,0 +1,33 @@
+//! The disk thread: makes durable what the core hands over, one sync for all that waits.
+
+use std::time::Instant;
+
+use crossbeam::channel::{Receiver, Sender};
+use hemlock_quorum::prelude::{DiskWork, Storage, perform};
+
+use super::input::Input;
+
+/// Does all work until the control thread ends.
+pub(super) fn run(
+    mut storage: Box<dyn Storage>,
+    work: &Receiver<Vec<DiskWork>>,
+    control: &Sender<Input>,
+    instance: &str,
+) {
+    let sync_ms = metrics::histogram!("hemlock_keeper_sync_ms", "instance" => instance.to_owned());
+    while let Ok(first) = work.recv() {
+        let waiting = first.into_iter().chain(work.try_iter().flatten());
+        let started = Instant::now();
+        let done = perform(storage.as_mut(), waiting);
+        sync_ms.record(started.elapsed().as_secs_f64() * 1_000.0);
+        let input = match done {
+            Ok(Some(up_to)) => Input::Synced(up_to),
+            Ok(None) => continue,
+            Err(error) => Input::DiskFailed(error),
+        };
+        let failed = matches!(input, Input::DiskFailed(_));
+        if control.send(input).is_err() || failed {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlock_keeper/src/shell/input.rs
@@ -0,0 +1,41 @@
+//! What reaches the control thread, and what it sends to the lane.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hemlock_http::prelude::Responder;
+use hemlock_quorum::prelude::{KeeperId, Message, StorageError, WorkId};
+use hemlock_wire::message::keeper::{KeeperReply, KeeperRequest};
+use tokio::sync::oneshot;
+
+use crate::core::event::{OperatorCall, ReplyToken};
+
+/// What reaches the control thread.
+pub(super) enum Input {
+    /// A request came over the wire.
+    Request(KeeperRequest, oneshot::Sender<KeeperReply>),
+    /// An operator's call came.
+    Call(OperatorCall, Responder),
+    /// A message of the replicated log came.
+    Received(KeeperId, Message),
+    /// The leader's answer to a call that was passed on.
+    Forwarded(ReplyToken, Option<KeeperReply>),
+    /// Disk work is durable.
+    Synced(WorkId),
+    /// The disk has failed.
+    DiskFailed(StorageError),
+    /// Stop, with a drain.
+    Drain,
+    /// Stop at once.
+    Kill,
+}
+
+/// What the control thread has the lane do.
+pub(super) enum LaneOrder {
+    /// Sends a message of the replicated log.
+    Send(KeeperId, Message),
+    /// Passes a call to another keeper.
+    Forward(ReplyToken, KeeperId, OperatorCall),
+    /// The keepers' addresses.
+    Keepers(BTreeMap<KeeperId, SocketAddr>),
+}
--- /dev/null
+++ b/crates/hemlock_keeper/tests/cluster.rs
@@ -0,0 +1,63 @@
+//! Real keepers on loopback without failures, and what they refuse.
+
+mod common;
+
+use common::Cluster;
+use hemlock_http::prelude::{HttpCall, HttpClient, HttpClientConfig, Method};
+
+#[test]
+fn any_keeper_takes_an_operators_call() {
+    let cluster = Cluster::start(3);
+    cluster.leader();
+    for index in 0..3 {
+        let (status, body) = cluster.put(index, "sablah", index as u64 + 1, 10);
+        assert_eq!(status, 200, "{body}");
+    }
+    for index in 0..3 {
+        let (status, body) = cluster.call(index, Method::Get, "/v1/contracts/sablah", "");
+        assert_eq!(status, 200);
+        assert_eq!(body["contract"]["revision"], 3);
+    }
+}
+
+#[test]
+fn a_drained_leader_hands_over_and_ends() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    assert_eq!(cluster.put(leader, "sablah", 1, 10).0, 200);
+    cluster.stop(leader);
+    let next = cluster.leader();
+    assert_eq!(cluster.put(next, "sablah", 2, 10).0, 200);
+}
+
+#[test]
+fn strangers_and_nonsense_are_refused_with_the_field_named() {
+    let cluster = Cluster::start(1);
+    cluster.leader();
+    let address = cluster.keepers[0].as_ref().unwrap().http_address();
+    let client = HttpClient::new(HttpClientConfig::default());
+    let stranger = HttpCall::new(Method::Get, address, "/v1/contracts");
+    assert_eq!(client.send(&stranger).unwrap().status, 401);
+    let huge = common::contract("sablah", 1, 1)
+        .replace("\"revision\":1", "\"revision\":18446744073709551616");
+    let (status, body) = cluster.call(0, Method::Put, "/v1/contracts/sablah", &huge);
+    assert_eq!(
+        (status, &body["faults"][0]["field"]),
+        (400, &"revision".into()),
+        "{body}"
+    );
+    let unknown = common::contract("sablah", 1, 1).replace("\"max_queued\"", "\"max_queud\"");
+    let (status, body) = cluster.call(0, Method::Put, "/v1/contracts/sablah", &unknown);
+    assert_eq!(
+        (status, &body["faults"][0]["field"]),
+        (400, &"max_queud".into()),
+        "{body}"
+    );
+    let (status, _) = cluster.call(
+        0,
+        Method::Put,
+        "/v1/contracts/other",
+        &common::contract("sablah", 1, 1),
+    );
+    assert_eq!(status, 400);
+}
--- a/crates/hemlock_ledger/src/ledger.rs
+++ b/crates/hemlock_ledger/src/ledger.rs
@@ -180,10 +180,27 @@
         }
     }
 
-    /// Forgets every submission whose time is over at `now_ms`, and returns how many.
-    pub fn expire(&mut self, now_ms: u64) -> usize {
+    /// When the next submission is due to be forgotten, in milliseconds.
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        self.forget.first().map(|(at_ms, _)| *at_ms)
+    }
+
+    /// Every open submission that was cancelled, with its owner.
+    pub fn cancelled_open(&self) -> impl Iterator<Item = (SubmissionId, Incarnation)> {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.cancelled)
+            .filter_map(|(submission, record)| match &record.state {
+                State::Open(claim) => Some((*submission, claim.owner)),
+                State::Ended(_) | State::Released => None,
+            })
+    }
+
+    /// Forgets submissions whose time is over at `now_ms`, `most` at once, and returns how many.
+    pub fn expire(&mut self, now_ms: u64, most: usize) -> usize {
         let mut forgotten = 0;
-        while let Some((at_ms, submission)) = self.forget.first().copied()
+        while forgotten < most
+            && let Some((at_ms, submission)) = self.forget.first().copied()
             && at_ms <= now_ms
         {
             self.forget.pop_first();
--- a/crates/hemlock_quota/src/dealer.rs
+++ b/crates/hemlock_quota/src/dealer.rs
@@ -29,6 +29,7 @@
     entries: BTreeMap<Incarnation, Member>,
     lost: Vec<LostWork>,
     dirty: BTreeSet<CustomerName>,
+    was_settled: bool,
 }
 
 /// One customer's limit.
@@ -83,6 +84,7 @@
             entries,
             lost: Vec::new(),
             dirty: BTreeSet::new(),
+            was_settled: false,
         }
     }
 
@@ -105,6 +107,13 @@
         self.entries.entry(entry).or_insert(fresh);
     }
 
+    /// Whether it is known what the entry may hold.
+    pub fn is_confirmed(&self, entry: Incarnation) -> bool {
+        self.entries
+            .get(&entry)
+            .is_none_or(|member| member.confirmed)
+    }
+
     /// Whether it is known what every entry may hold.
     pub fn is_settled(&self) -> bool {
         self.entries.values().all(|member| member.confirmed)
@@ -218,6 +227,9 @@
         if !self.is_settled() {
             return due;
         }
+        if !std::mem::replace(&mut self.was_settled, true) {
+            self.dirty.extend(self.limits.keys().cloned());
+        }
         self.lost.retain(|lost| now < lost.until);
         for customer in std::mem::take(&mut self.dirty) {
             let Some(view) = self.view(now, &customer) else {
