Route, claim and settle work in a pure core, and run it as the entry role

Cause: nothing took a caller's request to an endpoint. Change: hemlock_router holds the decisions of an entry as one state machine with an event and an action enum: admission against contract, share and deadline; queues by urgency, weighted-fair between contracts; placement behind a trait (slot credits, least own in-flight, random); claims, fencing and collection of submissions; retries and hedges from budgets; outlier ejection and probation; lost starts of submissions sent again to the same agent, whose gate starts them once. hemlock_entry runs it: control thread, lanes with the agents' connections, a session with the leading keeper, the HTTP edge. bins/entry drains on SIGTERM. A refusal of a call that names a submission asks the ledger first: the call may be a resubmission of work that has run, and "not run" would be false.

--- /dev/null
+++ b/crates/hemlock_entry/src/edge/job.rs
@@ -0,0 +1,97 @@
+//! The JSON form of a job.
+
+use bytes::Bytes;
+use derive_more::Display;
+use hemlock_router::prelude::*;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// What is wrong with a job's document.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum JobFault {
+    /// It is not UTF-8.
+    #[display("not-utf8")]
+    NotUtf8,
+    /// It is not the JSON document expected.
+    #[display("bad-job")]
+    Malformed,
+    /// It has no task, or more than allowed.
+    #[display("task-count")]
+    TaskCount,
+}
+
+impl JobFault {
+    pub(crate) fn code(self) -> &'static str {
+        match self {
+            Self::NotUtf8 => "not-utf8",
+            Self::Malformed => "bad-job",
+            Self::TaskCount => "task-count",
+        }
+    }
+
+    pub(crate) fn message(self) -> &'static str {
+        match self {
+            Self::NotUtf8 => "a job is a JSON document in UTF-8",
+            Self::Malformed => {
+                "a job is {\"submission\", \"service\", \"deadline_ms\"?, \"tasks\": \
+                 [{\"operation\", \"body\"?, \"cores\"?, \"memory_mb\"?}]}"
+            }
+            Self::TaskCount => "a job has 1 to 240 tasks",
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TaskDocument<'a> {
+    operation: String,
+    #[serde(borrow, default)]
+    body: Option<&'a RawValue>,
+    #[serde(default)]
+    cores: u32,
+    #[serde(default)]
+    memory_mb: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobDocument<'a> {
+    submission: String,
+    service: String,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    #[serde(borrow)]
+    tasks: Vec<TaskDocument<'a>>,
+}
+
+/// A job as its caller describes it.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) submission: String,
+    pub(crate) service: String,
+    pub(crate) deadline_ms: Option<u64>,
+    pub(crate) tasks: Vec<TaskRequest>,
+}
+
+/// Reads a job. The body of each task is passed on as it stands in the document.
+pub(crate) fn parse_job(body: &Bytes) -> Result<Job, JobFault> {
+    let text = std::str::from_utf8(body).map_err(|_| JobFault::NotUtf8)?;
+    let document: JobDocument<'_> = serde_json::from_str(text).map_err(|_| JobFault::Malformed)?;
+    if !(1..=MAX_TASKS).contains(&document.tasks.len()) {
+        return Err(JobFault::TaskCount);
+    }
+    let task = |task: TaskDocument<'_>| TaskRequest {
+        operation: task.operation.as_str().into(),
+        body: task
+            .body
+            .map_or_else(Bytes::new, |raw| body.slice_ref(raw.get().as_bytes())),
+        cores: task.cores,
+        memory_mb: task.memory_mb,
+    };
+    Ok(Job {
+        submission: document.submission,
+        service: document.service,
+        deadline_ms: document.deadline_ms,
+        tasks: document.tasks.into_iter().map(task).collect(),
+    })
+}
--- /dev/null
+++ b/crates/hemlock_entry/src/lane/agent_link.rs
@@ -0,0 +1,277 @@
+//! The connection to one agent, opened again whenever it is lost.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlock_router::prelude::*;
+use hemlock_types::prelude::*;
+use hemlock_wire::message::agent::{AgentReply, AgentRequest};
+use hemlock_wire::prelude::*;
+use tokio::task::JoinHandle;
+use tracing::info;
+
+use super::back_calls::BackCalls;
+use crate::inbox::{Inbox, post_event};
+
+/// Time for opening a connection.
+const CONNECT_TIMEOUT: DurationMs = DurationMs::new(1_000);
+/// First pause before a lost connection is opened again, in milliseconds; each further one
+/// doubles.
+const RECONNECT_MS: u64 = 50;
+/// Longest pause before a lost connection is opened again, in milliseconds.
+const RECONNECT_MAX_MS: u64 = 2_000;
+/// Time between two heartbeats, and for the answer to one, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_000;
+/// Heartbeats missed in a row after which the connection is closed.
+const CLOSE_AFTER_MISSED: u32 = 10;
+/// Time past its deadline after which a start without an answer counts as lost, in
+/// milliseconds.
+const START_GRACE_MS: u64 = 5_000;
+/// Time for the answer to a fence, in milliseconds.
+const FENCE_TIMEOUT_MS: u64 = 2_000;
+
+/// Keeps a connection to one agent and sends over it.
+pub(super) struct AgentLink {
+    agent: Incarnation,
+    inbox: Inbox,
+    link: Rc<RefCell<Option<Link>>>,
+    task: Option<JoinHandle<()>>,
+    stop: Rc<tokio::sync::Notify>,
+}
+
+impl AgentLink {
+    /// Opens the connection, and opens it again until [`AgentLink::close`].
+    pub(super) fn open(
+        agent: Incarnation,
+        address: SocketAddr,
+        identity: Rc<Identity>,
+        inbox: Inbox,
+    ) -> Self {
+        let link = Rc::new(RefCell::new(None));
+        let stop = Rc::new(tokio::sync::Notify::new());
+        let keeper = LinkKeeper {
+            agent,
+            address,
+            identity,
+            inbox: inbox.clone(),
+            link: Rc::clone(&link),
+        };
+        let stopped = Rc::clone(&stop);
+        let task = tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = keeper.run() => {}
+                () = stopped.notified() => {}
+            }
+        });
+        Self {
+            agent,
+            inbox,
+            link,
+            task: Some(task),
+            stop,
+        }
+    }
+
+    /// A connection that does not stand: everything sent over it is reported as unsent.
+    pub(super) fn absent(agent: Incarnation, inbox: Inbox) -> Self {
+        Self {
+            agent,
+            inbox,
+            link: Rc::default(),
+            task: None,
+            stop: Rc::default(),
+        }
+    }
+
+    /// Closes the connection and waits for its task.
+    pub(super) async fn close(mut self) {
+        self.stop.notify_one();
+        if let Some(task) = self.task.take() {
+            // The task has nothing to report; a panic in it has been printed.
+            drop(task.await);
+        }
+    }
+
+    fn link(&self) -> Option<Link> {
+        self.link.borrow().clone()
+    }
+
+    pub(super) fn start(&self, spec: TaskSpec) {
+        let (agent, inbox) = (self.agent, self.inbox.clone());
+        let request = spec.request;
+        let Some(link) = self.link() else {
+            let loss = Loss::NeverSent;
+            post_event(
+                &inbox,
+                Event::StartLost {
+                    agent,
+                    request,
+                    loss,
+                },
+            );
+            return;
+        };
+        let patience = Duration::from_millis(spec.deadline_ms + START_GRACE_MS);
+        tokio::task::spawn_local(async move {
+            let request_message = AgentRequest::Start(spec);
+            let call = link.call::<_, AgentReply>(&request_message);
+            let answer = tokio::time::timeout(patience, call).await;
+            post_event(&inbox, start_event(agent, request, answer.ok()));
+        });
+    }
+
+    pub(super) fn want(&self, count: u16) {
+        let (agent, inbox) = (self.agent, self.inbox.clone());
+        let Some(link) = self.link() else {
+            return;
+        };
+        tokio::task::spawn_local(async move {
+            let request = AgentRequest::Want { count };
+            if let Ok(AgentReply::Granted { slots }) = link.call(&request).await {
+                post_event(&inbox, Event::Granted { agent, slots });
+            }
+        });
+    }
+
+    pub(super) fn cancel(&self, requests: Vec<RequestId>) {
+        let (agent, inbox) = (self.agent, self.inbox.clone());
+        let Some(link) = self.link() else {
+            return;
+        };
+        tokio::task::spawn_local(async move {
+            let request = AgentRequest::Cancel { requests };
+            if let Ok(AgentReply::Cancelled { outcomes }) = link.call(&request).await {
+                post_event(&inbox, Event::Cancelled { agent, outcomes });
+            }
+        });
+    }
+
+    pub(super) fn fence(&self, submission: SubmissionId, epoch: Epoch) {
+        let (agent, inbox) = (self.agent, self.inbox.clone());
+        let lost = Event::FenceLost {
+            agent,
+            submission,
+            epoch,
+        };
+        let Some(link) = self.link() else {
+            post_event(&inbox, lost);
+            return;
+        };
+        tokio::task::spawn_local(async move {
+            let request = AgentRequest::Fence { submission, epoch };
+            let patience = Duration::from_millis(FENCE_TIMEOUT_MS);
+            let answer = tokio::time::timeout(patience, link.call(&request)).await;
+            let event = match answer {
+                Ok(Ok(AgentReply::Fenced { tasks })) => Event::Fenced {
+                    agent,
+                    submission,
+                    epoch,
+                    tasks,
+                },
+                _ => lost,
+            };
+            post_event(&inbox, event);
+        });
+    }
+}
+
+/// The router's event for what became of a start.
+fn start_event(
+    agent: Incarnation,
+    sent: RequestId,
+    answer: Option<Result<AgentReply, CallError>>,
+) -> Event {
+    let lost = |loss| Event::StartLost {
+        agent,
+        request: sent,
+        loss,
+    };
+    match answer {
+        Some(Ok(AgentReply::Settled {
+            request,
+            outcome,
+            service_us,
+            granted,
+        })) if request == sent => Event::Settled {
+            agent,
+            request,
+            outcome,
+            service_us,
+            granted,
+        },
+        Some(Err(CallError::NeverSent)) => lost(Loss::NeverSent),
+        Some(Ok(_) | Err(_)) | None => lost(Loss::AfterSending),
+    }
+}
+
+/// Opens the connection again and again.
+struct LinkKeeper {
+    agent: Incarnation,
+    address: SocketAddr,
+    identity: Rc<Identity>,
+    inbox: Inbox,
+    link: Rc<RefCell<Option<Link>>>,
+}
+
+impl LinkKeeper {
+    async fn run(self) {
+        let mut pause_ms = RECONNECT_MS;
+        loop {
+            if let Some(connection) = self.connect().await {
+                pause_ms = RECONNECT_MS;
+                self.serve(connection).await;
+            }
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            pause_ms = (pause_ms * 2).min(RECONNECT_MAX_MS);
+        }
+    }
+
+    async fn connect(&self) -> Option<Connection> {
+        let service = Rc::new(BackCalls::new(self.agent, self.inbox.clone()));
+        let identity = Rc::clone(&self.identity);
+        let connection = connect(self.address, identity, service, CONNECT_TIMEOUT).await;
+        match connection {
+            Ok(connection) if connection.peer.incarnation == self.agent => Some(connection),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// Uses a connection until it ends or its agent falls silent.
+    async fn serve(&self, connection: Connection) {
+        let agent = self.agent;
+        let link = connection.link.clone();
+        self.link.replace(Some(link.clone()));
+        post_event(&self.inbox, Event::LinkUp(agent));
+        tokio::select! {
+            () = connection.until_closed() => {}
+            () = self.beat(link) => {}
+        }
+        self.link.replace(None);
+        connection.close();
+        info!(event = "agent-link-closed", %agent);
+        post_event(&self.inbox, Event::LinkDown(agent));
+    }
+
+    /// Sends heartbeats until too many in a row have no answer.
+    async fn beat(&self, link: Link) {
+        let mut missed = 0;
+        while missed < CLOSE_AFTER_MISSED {
+            tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+            let patience = Duration::from_millis(HEARTBEAT_MS);
+            let call = link.call::<_, AgentReply>(&AgentRequest::Ping);
+            let agent = self.agent;
+            match tokio::time::timeout(patience, call).await {
+                Ok(Ok(AgentReply::Pong { draining, .. })) => {
+                    missed = 0;
+                    post_event(&self.inbox, Event::Pong { agent, draining });
+                }
+                _ => {
+                    missed += 1;
+                    post_event(&self.inbox, Event::PingMissed(agent));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlock_entry/src/spans.rs
@@ -0,0 +1,39 @@
+//! Span lines of the entry's hops.
+
+use bytes::Bytes;
+use hemlock_telemetry::prelude::*;
+
+fn emit(traceparent: &Bytes, hop: Hop, duration_micros: u64) {
+    let header = std::str::from_utf8(traceparent).ok();
+    let Some(parent) = header.and_then(TraceContext::parse) else {
+        return;
+    };
+    if !parent.is_sampled() {
+        return;
+    }
+    let record = SpanRecord {
+        hop,
+        context: parent.child(rand::random()),
+        parent_id: parent.span_id,
+        duration_micros,
+    };
+    record.emit();
+}
+
+/// Writes the spans of a task's wait and of its way to the agent and back.
+pub(crate) fn emit_task_spans(traceparent: &Bytes, response_us: u64, queued_us: u64) {
+    if traceparent.is_empty() {
+        return;
+    }
+    emit(traceparent, Hop::Queue, queued_us);
+    emit(
+        traceparent,
+        Hop::Dispatch,
+        response_us.saturating_sub(queued_us),
+    );
+}
+
+/// Writes the span of a claim.
+pub(crate) fn emit_claim_span(traceparent: &Bytes, claim_us: u64) {
+    emit(traceparent, Hop::Claim, claim_us);
+}
--- a/crates/hemlock_quorum/src/quorum/commit.rs
+++ b/crates/hemlock_quorum/src/quorum/commit.rs
@@ -1,7 +1,7 @@
 //! Commits entries and has them applied.
 
 use super::Quorum;
-use super::role_state::{RoleState, Waiting};
+use super::role_state::RoleState;
 use crate::action::Action;
 use crate::entry::{Entry, Payload};
 use crate::ids::LogIndex;
@@ -61,12 +61,11 @@
         let due = leading
             .waiting
             .front()
-            .is_some_and(|waiting| waiting.index == index);
+            .is_some_and(|(waiting, _)| *waiting == index);
         if !due {
             return;
         }
-        if let Some(Waiting { token, bytes, .. }) = leading.waiting.pop_front() {
-            leading.waiting_bytes -= bytes;
+        if let Some((_, token)) = leading.waiting.pop_front() {
             let result = Ok(index);
             self.out.push(Action::ProposalDone { token, result });
         }
--- a/crates/hemlock_quorum/src/quorum/proposals.rs
+++ b/crates/hemlock_quorum/src/quorum/proposals.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 
 use super::Quorum;
-use super::role_state::{Leading, PendingRead, Waiting};
+use super::role_state::PendingRead;
 use crate::action::Action;
 use crate::entry::Payload;
 use crate::error::ProposeError;
-use crate::ids::ProposalToken;
+use crate::ids::{LogIndex, ProposalToken};
 
 impl Quorum {
     pub(super) fn propose(&mut self, token: ProposalToken, command: Bytes) {
@@ -29,13 +29,8 @@
     ) {
         match payload {
             Ok(payload) => {
-                let bytes = payload.size_bytes();
                 let index = self.append_own(payload);
-                self.wait_for(Waiting {
-                    index,
-                    token,
-                    bytes,
-                });
+                self.wait_for(index, token);
             }
             Err(error) => {
                 let result = Err(error);
@@ -44,10 +39,9 @@
         }
     }
 
-    fn wait_for(&mut self, waiting: Waiting) {
+    fn wait_for(&mut self, index: LogIndex, token: ProposalToken) {
         if let Some(leading) = self.leading_mut() {
-            leading.waiting_bytes += waiting.bytes;
-            leading.waiting.push_back(waiting);
+            leading.waiting.push_back((index, token));
         }
     }
 
@@ -59,16 +53,11 @@
         match &leading.hand_over {
             _ if !leading.serving => Err(ProposeError::NotLeader(None)),
             Some(hand_over) => Err(ProposeError::HandingOver(hand_over.to)),
-            None if self.is_full(leading) => Err(ProposeError::Busy),
+            None if leading.waiting.len() >= self.config.max_waiting => Err(ProposeError::Busy),
             None => Ok(()),
         }
     }
 
-    fn is_full(&self, leading: &Leading) -> bool {
-        leading.waiting.len() >= self.config.max_waiting
-            || leading.waiting_bytes >= self.config.max_waiting_bytes
-    }
-
     pub(super) fn confirm_read(&mut self, token: ProposalToken) {
         let asked = self.now;
         let leader = self.leader;
--- /dev/null
+++ b/crates/hemlock_router/src/router/finish.rs
@@ -0,0 +1,226 @@
+//! Ends of tasks, and the one answer of the work that they form.
+
+use hemlock_ledger::prelude::*;
+use hemlock_types::prelude::*;
+
+use super::Router;
+use super::callers::RETRY_AFTER_FAULT_MS;
+use crate::action::{Action, Actions, CallResult, Observation};
+use crate::placement::plan_agents;
+use crate::submission::{Phase, Submission};
+use crate::work::{Task, TaskState, Work, WorkKey};
+
+/// Most bytes of answers that the ledger takes for one submission.
+const LEDGER_ANSWER_MAX_BYTES: usize = 16 * 1024;
+
+impl Router {
+    /// Ends a task that has not ended, and its work when that decides it.
+    pub(super) fn end_task(
+        &mut self,
+        key: WorkKey,
+        index: TaskIndex,
+        outcome: Outcome,
+        out: &mut Actions,
+    ) {
+        let Some(work) = self.works.get_mut(key) else {
+            return;
+        };
+        let task = work.task_mut(index);
+        assert!(
+            !matches!(task.state, TaskState::Ended(_)),
+            "a task ends once"
+        );
+        let was_waiting = matches!(task.state, TaskState::Held | TaskState::Queued);
+        let decided = match &outcome {
+            Outcome::Complete(_) => None,
+            Outcome::Failed(kind) => Some(Err(*kind)),
+            Outcome::NotRun(reason, proof) => Some(Ok((*reason, *proof))),
+        };
+        task.state = TaskState::Ended(outcome);
+        work.open_tasks -= 1;
+        let (contract, open) = (work.contract, work.open_tasks);
+        if was_waiting {
+            self.contracts.state_mut(contract).queued -= 1;
+            self.queued -= 1;
+        }
+        match decided {
+            None if open == 0 => self.complete(key, out),
+            None => {}
+            Some(Err(kind)) => {
+                let retry = Some(RETRY_AFTER_FAULT_MS);
+                self.finish(key, CallResult::Failed(kind), retry, out);
+            }
+            Some(Ok((reason, proof))) => self.give_up(key, reason, proof, out),
+        }
+    }
+
+    /// Ends work that can't be completed: "not run" only when that is proven of every task.
+    pub(super) fn give_up(
+        &mut self,
+        key: WorkKey,
+        reason: NotRunReason,
+        proof: NotRunProof,
+        out: &mut Actions,
+    ) {
+        let Some(work) = self.works.get(key) else {
+            return;
+        };
+        let result = match (is_proven_not_run(work), reason) {
+            (true, _) => CallResult::NotRun(reason, proof),
+            (false, NotRunReason::Deadline) => CallResult::Failed(FailureKind::Deadline),
+            (false, NotRunReason::Cancelled) => CallResult::Failed(FailureKind::Cancelled),
+            (false, _) if work.is_job() => CallResult::Failed(FailureKind::TaskFailed),
+            (false, _) => CallResult::Failed(FailureKind::Unknown),
+        };
+        self.finish(key, result, Some(RETRY_AFTER_FAULT_MS), out);
+    }
+
+    /// Assembles the answer: one whole answer per task, in task order.
+    fn complete(&mut self, key: WorkKey, out: &mut Actions) {
+        let Some(work) = self.works.get_mut(key) else {
+            return;
+        };
+        let answers: Vec<_> = work.tasks.iter_mut().filter_map(take_answer).collect();
+        assert_eq!(
+            answers.len(),
+            work.tasks.len(),
+            "an answer holds one whole answer per task"
+        );
+        self.finish(key, CallResult::Complete(answers), None, out);
+    }
+
+    /// Gives every caller the final answer, records the end, and withdraws what is still out.
+    pub(super) fn finish(
+        &mut self,
+        key: WorkKey,
+        result: CallResult,
+        retry_after_ms: Option<u64>,
+        out: &mut Actions,
+    ) {
+        let Some(work) = self.works.remove(key) else {
+            return;
+        };
+        if let CallResult::NotRun(reason, _) = &result {
+            Self::observe(out, Observation::Refused(*reason));
+        }
+        if let Some(submission) = &work.submission {
+            self.submissions.remove(&submission.id);
+            self.record_end(&work, submission, &result, out);
+        }
+        self.release_waiting(&work);
+        self.withdraw_flights(&work);
+        let Some((last, others)) = work.waiters.split_last() else {
+            return;
+        };
+        let answer = |call, result| Action::Answer {
+            call,
+            result,
+            retry_after_ms,
+        };
+        out.extend(
+            others
+                .iter()
+                .map(|waiter| answer(waiter.call, result.clone())),
+        );
+        out.push(answer(last.call, result));
+    }
+
+    fn release_waiting(&mut self, work: &Work) {
+        let waits = |task: &&Task| matches!(task.state, TaskState::Held | TaskState::Queued);
+        let waiting = work.tasks.iter().filter(waits).count();
+        self.contracts.state_mut(work.contract).queued -= waiting as u32;
+        self.queued -= waiting as u64;
+        self.dirty.insert(work.service);
+    }
+
+    fn withdraw_flights(&mut self, work: &Work) {
+        let flights = work.tasks.iter().flat_map(|task| [task.flight, task.hedge]);
+        for key in flights.flatten() {
+            self.abandon(key);
+        }
+    }
+
+    /// Nobody waits for a start any more: its agent is told, and it holds its place until it
+    /// settles.
+    pub(super) fn abandon(&mut self, key: crate::flight::FlightKey) {
+        let Some(flight) = self.flights.get_mut(key) else {
+            return;
+        };
+        flight.abandoned = true;
+        if !flight.lost {
+            let (endpoint, request) = (flight.endpoint, flight.request);
+            self.cancels.entry(endpoint).or_default().push(request);
+        }
+    }
+
+    fn record_end(
+        &self,
+        work: &Work,
+        submission: &Submission,
+        result: &CallResult,
+        out: &mut Actions,
+    ) {
+        if !matches!(submission.phase(), Phase::Running | Phase::Fencing) {
+            return;
+        }
+        let result = match result {
+            CallResult::Complete(answers) => self.recorded_answers(work, submission, answers),
+            CallResult::Failed(kind) => SubmissionResult::Failed(*kind),
+            CallResult::NotRun(reason, proof) => SubmissionResult::NotRun(*reason, *proof),
+            CallResult::Rejected(_)
+            | CallResult::Running
+            | CallResult::CompleteElsewhere
+            | CallResult::CancelRecorded => return,
+        };
+        out.push(Action::End(EndRecord {
+            submission: submission.id,
+            epoch: submission.epoch(),
+            result,
+        }));
+    }
+
+    fn recorded_answers(
+        &self,
+        work: &Work,
+        submission: &Submission,
+        answers: &[Answer],
+    ) -> SubmissionResult {
+        let size = |answer: &Answer| answer.body.len() + answer.content_type.len();
+        let total: usize = answers.iter().map(size).sum();
+        if total <= LEDGER_ANSWER_MAX_BYTES {
+            return SubmissionResult::Complete {
+                answers: answers.to_vec(),
+            };
+        }
+        let mut plan = plan_agents(&submission.holders(), &self.fleet);
+        let earlier = submission.fenced().iter().map(|fenced| fenced.agent);
+        plan.extend(earlier);
+        plan.sort_unstable();
+        plan.dedup();
+        assert!(plan.len() <= work.tasks.len() + submission.fenced().len());
+        SubmissionResult::CompleteElsewhere { plan }
+    }
+}
+
+fn take_answer(task: &mut Task) -> Option<Answer> {
+    match &mut task.state {
+        TaskState::Ended(Outcome::Complete(answer)) => Some(answer.clone()),
+        _ => None,
+    }
+}
+
+/// Whether no start of any of the work's tasks can have run.
+fn is_proven_not_run(work: &Work) -> bool {
+    let untouched = work.tasks.iter().all(|task| {
+        let open = matches!(
+            task.state,
+            TaskState::Held | TaskState::Queued | TaskState::Ended(Outcome::NotRun(..))
+        );
+        open && !task.may_have_run && task.flight.is_none() && task.hedge.is_none()
+    });
+    let claimed = work
+        .submission
+        .as_ref()
+        .is_none_or(|submission| submission.phase() == Phase::Running && !submission.has_starts());
+    untouched && claimed
+}
--- /dev/null
+++ b/crates/hemlock_router/src/router/fleet_news.rs
@@ -0,0 +1,264 @@
+//! News of endpoints: connections, grants, heartbeats, health.
+
+use hemlock_types::prelude::*;
+
+use super::{Router, WorkerShape};
+use crate::action::{Action, Actions, Observation};
+use crate::fleet::{Endpoint, EndpointKey, FleetChange};
+use crate::health::{Sample, Verdict};
+use crate::queue::ServiceKey;
+use crate::timers::Timer;
+
+/// An endpoint is an outlier only when its bad rate is this many times that of the others.
+const OUTLIER_FACTOR: u32 = 2;
+
+impl Router {
+    pub(super) fn apply_fleet_change(&mut self, change: FleetChange, out: &mut Actions) {
+        let (FleetChange::Added(key) | FleetChange::Changed(key) | FleetChange::Unlisted(key)) =
+            change;
+        let Some(endpoint) = self.fleet.get(key) else {
+            return;
+        };
+        let service = endpoint.service;
+        let (agent, address) = (endpoint.announcement.agent, endpoint.announcement.address);
+        let gone = !endpoint.listed && !endpoint.linked;
+        match change {
+            FleetChange::Added(_) => out.push(Action::Connect { agent, address }),
+            FleetChange::Unlisted(_) if gone => self.forget_endpoint(key, out),
+            FleetChange::Changed(_) | FleetChange::Unlisted(_) => {}
+        }
+        self.touch_endpoint(key);
+        self.survey(service);
+    }
+
+    /// Learns anew what the largest workers of a service are, and how many slots it has.
+    fn survey(&mut self, service: ServiceKey) {
+        let mut shapes: Vec<WorkerShape> = Vec::new();
+        let mut slots = 0;
+        for key in self.fleet.of_service(service) {
+            let Some(endpoint) = self.fleet.get(*key) else {
+                continue;
+            };
+            if endpoint.leaving {
+                continue;
+            }
+            slots += u64::from(endpoint.announcement.slots);
+            let shape = WorkerShape {
+                cores: endpoint.announcement.cores,
+                memory_mb: endpoint.announcement.memory_mb,
+            };
+            if !shapes.contains(&shape) {
+                shapes.push(shape);
+            }
+        }
+        let state = self.service(service);
+        state.shapes = shapes;
+        state.slots = slots;
+    }
+
+    fn forget_endpoint(&mut self, key: EndpointKey, out: &mut Actions) {
+        let Some(endpoint) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let (agent, service) = (endpoint.announcement.agent, endpoint.service);
+        let unresolved = std::mem::take(&mut endpoint.unresolved);
+        self.fail_unresolved(unresolved, out);
+        self.placement.remove(key, service);
+        self.service(service)
+            .probation
+            .retain(|other| *other != key);
+        self.service(service).wants.forget(key);
+        self.fleet.remove(key);
+        self.survey(service);
+        out.push(Action::Disconnect(agent));
+    }
+
+    pub(super) fn link_up(&mut self, now: Instant, agent: Incarnation, out: &mut Actions) {
+        let Some(key) = self.fleet.find(agent) else {
+            out.push(Action::Disconnect(agent));
+            return;
+        };
+        if let Some(endpoint) = self.fleet.get_mut(key) {
+            endpoint.linked = true;
+            endpoint.missed_pings = 0;
+        }
+        self.touch_endpoint(key);
+        self.resend_unresolved(now, key, out);
+    }
+
+    pub(super) fn link_down(&mut self, agent: Incarnation, out: &mut Actions) {
+        let Some(key) = self.fleet.find(agent) else {
+            return;
+        };
+        let Some(endpoint) = self.fleet.get_mut(key) else {
+            return;
+        };
+        endpoint.linked = false;
+        endpoint.credits = 0;
+        endpoint.wanted = 0;
+        let gone = !endpoint.listed;
+        self.touch_endpoint(key);
+        if gone {
+            self.forget_endpoint(key, out);
+        }
+    }
+
+    fn with_endpoint(&mut self, agent: Incarnation, change: impl FnOnce(&mut Endpoint)) {
+        let Some(key) = self.fleet.find(agent) else {
+            return;
+        };
+        if let Some(endpoint) = self.fleet.get_mut(key) {
+            change(endpoint);
+        }
+        self.touch_endpoint(key);
+    }
+
+    pub(super) fn granted(&mut self, agent: Incarnation, slots: u16) {
+        if slots == 0 {
+            return;
+        }
+        self.with_endpoint(agent, |endpoint| {
+            endpoint.credits = endpoint.credits.saturating_add(slots);
+            endpoint.wanted = endpoint.wanted.saturating_sub(slots);
+        });
+    }
+
+    /// Gives back slots that no waiting task can use.
+    pub(super) fn recall(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        slots: u16,
+        ticket: u64,
+        out: &mut Actions,
+    ) {
+        if let Some(service) = self.service_of(agent) {
+            self.dirty.remove(&service);
+            self.dispatch(now, service, out);
+        }
+        let mut returned = 0;
+        self.with_endpoint(agent, |endpoint| {
+            returned = endpoint.credits.min(slots);
+            endpoint.credits -= returned;
+        });
+        out.push(Action::Return {
+            agent,
+            ticket,
+            slots: returned,
+        });
+    }
+
+    fn service_of(&self, agent: Incarnation) -> Option<ServiceKey> {
+        let key = self.fleet.find(agent)?;
+        self.fleet.get(key).map(|endpoint| endpoint.service)
+    }
+
+    pub(super) fn leaving(&mut self, agent: Incarnation) {
+        self.with_endpoint(agent, |endpoint| {
+            endpoint.leaving = true;
+            endpoint.credits = 0;
+            endpoint.wanted = 0;
+        });
+        if let Some(service) = self.service_of(agent) {
+            self.survey(service);
+        }
+    }
+
+    pub(super) fn pong(&mut self, agent: Incarnation, draining: bool) {
+        self.with_endpoint(agent, |endpoint| {
+            endpoint.missed_pings = 0;
+            endpoint.leaving |= draining;
+        });
+    }
+
+    pub(super) fn ping_missed(&mut self, agent: Incarnation) {
+        self.with_endpoint(agent, |endpoint| {
+            endpoint.missed_pings = endpoint.missed_pings.saturating_add(1);
+        });
+    }
+
+    pub(super) fn reopen(&mut self, now: Instant, key: EndpointKey, out: &mut Actions) {
+        let Some(endpoint) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if now < endpoint.refused_until {
+            return;
+        }
+        endpoint.refused_until = Instant::ZERO;
+        let linked = endpoint.linked;
+        self.touch_endpoint(key);
+        if linked {
+            self.resend_unresolved(now, key, out);
+        }
+    }
+
+    /// Takes a finding about an endpoint into account, and ejects it when it is an outlier.
+    pub(super) fn judge_endpoint(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        sample: Sample,
+        out: &mut Actions,
+    ) {
+        let Some(endpoint) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let (agent, service) = (endpoint.announcement.agent, endpoint.service);
+        match endpoint.health.note(sample) {
+            Verdict::Unchanged => {}
+            Verdict::Suspicious if self.may_eject(key, service) => self.eject(now, key, out),
+            Verdict::Suspicious => {}
+            Verdict::FailedProbation => self.eject(now, key, out),
+            Verdict::Reinstated => {
+                self.service(service)
+                    .probation
+                    .retain(|other| *other != key);
+                Self::observe(out, Observation::Reinstated(agent));
+                self.touch_endpoint(key);
+            }
+        }
+    }
+
+    /// Whether the others of the service do much better, and not too many are ejected already.
+    fn may_eject(&self, key: EndpointKey, service: ServiceKey) -> bool {
+        let of_service = self.fleet.of_service(service);
+        let others = of_service.iter().filter(|other| **other != key);
+        let healths = others.filter_map(|other| self.fleet.get(*other).map(|e| e.health));
+        let (mut count, mut ejected, mut bad) = (0u32, 0u32, 0u32);
+        for health in healths {
+            count += 1;
+            ejected += u32::from(!health.is_healthy());
+            bad += health.bad_rate();
+        }
+        let own = self.fleet.get(key).map_or(0, |e| e.health.bad_rate());
+        let percent = u32::from(self.settings.max_ejected_percent);
+        let most = ((count + 1) * percent / 100).max(1);
+        count > 0 && ejected < most && own * count >= OUTLIER_FACTOR * bad
+    }
+
+    fn eject(&mut self, now: Instant, key: EndpointKey, out: &mut Actions) {
+        let Some(endpoint) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let (agent, service) = (endpoint.announcement.agent, endpoint.service);
+        let until = endpoint.health.eject(now);
+        self.timers.set(until, Timer::Probation(key));
+        self.service(service)
+            .probation
+            .retain(|other| *other != key);
+        self.touch_endpoint(key);
+        Self::observe(out, Observation::Ejected(agent));
+    }
+
+    pub(super) fn begin_probation(&mut self, now: Instant, key: EndpointKey) {
+        let Some(endpoint) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let service = endpoint.service;
+        endpoint.health.begin_probation(now);
+        if endpoint.health.is_on_probation() {
+            self.service(service).probation.push(key);
+            self.touch_endpoint(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlock_router/src/router/hedge.rs
@@ -0,0 +1,70 @@
+//! Stragglers: starts that take far longer than their operation does elsewhere.
+
+use hemlock_types::prelude::*;
+
+use super::Router;
+use crate::action::{Actions, Observation};
+use crate::estimate::OperationKey;
+use crate::flight::FlightKey;
+use crate::health::Sample;
+use crate::timers::Timer;
+use crate::work::{TaskRef, TaskState};
+
+/// A start straggles after this many times the 90th percentile of its operation.
+const STRAGGLING_FACTOR: u64 = 3;
+
+impl Router {
+    /// Looks at the start again when it has taken too long.
+    pub(super) fn watch(&mut self, now: Instant, flight: FlightKey, operation: OperationKey) {
+        if let Some(times) = self.estimates.quantiles(operation) {
+            let late_us = now.as_micros() + times.p90_us * STRAGGLING_FACTOR;
+            let at = Instant::from_micros(late_us);
+            self.timers.set(at, Timer::Straggling(flight));
+        }
+    }
+
+    pub(super) fn straggling(&mut self, now: Instant, key: FlightKey, out: &mut Actions) {
+        let Some(flight) = self.flights.get_mut(key) else {
+            return;
+        };
+        if flight.lost {
+            return;
+        }
+        flight.late = true;
+        let (endpoint, task, abandoned) = (flight.endpoint, flight.task, flight.abandoned);
+        self.judge_endpoint(now, endpoint, Sample::Slow, out);
+        if !abandoned && self.may_hedge(now, task) {
+            self.hedge(now, key, task, out);
+        }
+    }
+
+    fn may_hedge(&self, now: Instant, task: TaskRef) -> bool {
+        let Some(work) = self.works.get(task.work) else {
+            return false;
+        };
+        let state = self.contracts.state(work.contract);
+        let single = work.task(task.task).hedge.is_none();
+        let started = work.task(task.task).state == TaskState::Started;
+        let allowed = state.contract.hedging.enabled && work.may_resend();
+        let idle = self.services[work.service.0 as usize].queue.is_empty();
+        allowed && single && started && idle && state.has_room(now) && self.has_lease(now)
+    }
+
+    fn hedge(&mut self, now: Instant, key: FlightKey, task: TaskRef, out: &mut Actions) {
+        let slow = self.flights.get(key).map(|flight| flight.endpoint);
+        let Some(endpoint) = self.pick(task, slow) else {
+            return;
+        };
+        let Some(contract) = self.works.get(task.work).map(|work| work.contract) else {
+            return;
+        };
+        if !self.contracts.state_mut(contract).hedges.spend() {
+            return;
+        }
+        let copy = self.start(now, task, endpoint, out);
+        if let Some(work) = self.works.get_mut(task.work) {
+            work.task_mut(task.task).hedge = copy;
+        }
+        Self::observe(out, Observation::Hedged);
+    }
+}
--- /dev/null
+++ b/crates/hemlock_router/src/router/mod.rs
@@ -0,0 +1,271 @@
+//! The router: one state machine that admits, queues, places and settles work.
+
+mod admit;
+mod callers;
+mod cancel;
+mod claim;
+mod dispatch;
+mod fence;
+mod finish;
+mod fleet_news;
+mod hedge;
+mod loss;
+mod settle;
+mod sync;
+mod tick;
+mod wants;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use hemlock_quota::prelude::*;
+use hemlock_types::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::action::{Action, Actions, Observation};
+use crate::admission::{Admission, DeadlineAware};
+use crate::arena::Arena;
+use crate::contracts::ContractTable;
+use crate::estimate::Estimates;
+use crate::event::{CallId, Event};
+use crate::fleet::{EndpointKey, Fleet};
+use crate::flight::FlightTable;
+use crate::meter::Meter;
+use crate::placement::Placement;
+use crate::queue::{FairQueue, ServiceKey};
+use crate::settings::RouterSettings;
+use crate::timers::Timers;
+use crate::work::{Work, WorkKey};
+use callers::LookupPurpose;
+use wants::Wants;
+
+/// Largest cores and memory that a task may ask for on some endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct WorkerShape {
+    cores: u32,
+    memory_mb: u64,
+}
+
+/// What the router keeps for each service.
+#[derive(Debug, Default)]
+struct ServiceState {
+    queue: FairQueue,
+    wants: Wants,
+    meter: Meter,
+    shapes: Vec<WorkerShape>,
+    slots: u64,
+    probation: Vec<EndpointKey>,
+}
+
+/// Decides for one entry what runs where and when, and what each caller is told.
+///
+/// [`Router::note`] takes one event; [`Router::flush`] then starts what can start. A shell may
+/// note a batch of events before it flushes, so that cancellations of a wave travel together.
+pub struct Router {
+    settings: RouterSettings,
+    rng: Pcg64,
+    placement: Box<dyn Placement>,
+    admission: Box<dyn Admission>,
+    contracts: ContractTable,
+    fleet: Fleet,
+    estimates: Estimates,
+    works: Arena<Work>,
+    flights: FlightTable,
+    services: Vec<ServiceState>,
+    submissions: HashMap<SubmissionId, WorkKey>,
+    lookups: HashMap<CallId, LookupPurpose>,
+    timers: Timers,
+    dirty: BTreeSet<ServiceKey>,
+    cancels: BTreeMap<EndpointKey, Vec<RequestId>>,
+    lease_until: Instant,
+    draining: bool,
+    queued: u64,
+}
+
+impl Router {
+    /// A router that holds no configuration yet and admits nothing.
+    pub fn new(settings: RouterSettings, placement: Box<dyn Placement>) -> Self {
+        let rng = Pcg64::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            rng,
+            placement,
+            admission: Box::new(DeadlineAware),
+            contracts: ContractTable::default(),
+            fleet: Fleet::default(),
+            estimates: Estimates::default(),
+            works: Arena::default(),
+            flights: FlightTable::default(),
+            services: Vec::new(),
+            submissions: HashMap::new(),
+            lookups: HashMap::new(),
+            timers: Timers::default(),
+            dirty: BTreeSet::new(),
+            cancels: BTreeMap::new(),
+            lease_until: Instant::ZERO,
+            draining: false,
+            queued: 0,
+        }
+    }
+
+    /// Replaces the admission rule.
+    #[must_use]
+    pub fn with_admission(mut self, admission: Box<dyn Admission>) -> Self {
+        self.admission = admission;
+        self
+    }
+
+    /// Takes one event and does all that follows from it.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Actions) {
+        self.note(now, event, out);
+        self.flush(now, out);
+    }
+
+    /// Takes one event; [`Router::flush`] has to follow before the router rests.
+    pub fn note(&mut self, now: Instant, event: Event, out: &mut Actions) {
+        match event {
+            Event::Submit(submit) => self.submit(now, *submit, out),
+            Event::Query { call, submission } => self.query(call, submission, out),
+            Event::CancelSubmission { call, submission } => {
+                self.cancel_submission(call, submission, out);
+            }
+            Event::Synced(news) => self.synced(*news, out),
+            Event::ClaimAnswered { submission, reply } => {
+                self.claim_answered(now, submission, reply, out);
+            }
+            Event::LookupAnswered { call, reply } => self.lookup_answered(call, reply, out),
+            Event::CancelRecorded { call, reply } => self.cancel_recorded(call, reply, out),
+            Event::LinkUp(agent) => self.link_up(now, agent, out),
+            Event::LinkDown(agent) => self.link_down(agent, out),
+            Event::Granted { agent, slots } => self.granted(agent, slots),
+            Event::Recall {
+                agent,
+                slots,
+                ticket,
+            } => self.recall(now, agent, slots, ticket, out),
+            Event::Leaving(agent) => self.leaving(agent),
+            Event::Pong { agent, draining } => self.pong(agent, draining),
+            Event::PingMissed(agent) => self.ping_missed(agent),
+            Event::Settled {
+                agent,
+                request,
+                outcome,
+                service_us,
+                granted,
+            } => self.settled(now, agent, request, outcome, service_us, granted, out),
+            Event::StartLost {
+                agent,
+                request,
+                loss,
+            } => self.start_lost(now, agent, request, loss, out),
+            Event::Cancelled { .. } => {}
+            Event::Fenced {
+                agent,
+                submission,
+                epoch,
+                tasks,
+            } => self.fenced(agent, submission, epoch, tasks, out),
+            Event::FenceLost {
+                agent,
+                submission,
+                epoch,
+            } => self.fence_lost(now, agent, submission, epoch),
+            Event::Drain => self.draining = true,
+            Event::Tick => {}
+        }
+    }
+
+    /// Looks at every timer that is due, starts what can start, and sends what was gathered.
+    pub fn flush(&mut self, now: Instant, out: &mut Actions) {
+        self.run_timers(now, out);
+        while let Some(service) = self.dirty.pop_first() {
+            self.dispatch(now, service, out);
+        }
+        for (key, requests) in std::mem::take(&mut self.cancels) {
+            if let Some(endpoint) = self.fleet.get(key) {
+                let agent = endpoint.announcement.agent;
+                out.push(Action::Cancel { agent, requests });
+            }
+        }
+    }
+
+    /// When [`Event::Tick`] is due next.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// Whether the entry may admit work: it holds a valid configuration lease and isn't draining.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.has_lease(now) && !self.draining
+    }
+
+    /// Whether the configuration lease is valid.
+    pub fn has_lease(&self, now: Instant) -> bool {
+        now < self.lease_until
+    }
+
+    /// When the configuration lease runs out.
+    pub fn lease_until(&self) -> Instant {
+        self.lease_until
+    }
+
+    /// Whether no caller waits and nothing is admitted.
+    pub fn is_idle(&self) -> bool {
+        self.works.is_empty() && self.lookups.is_empty()
+    }
+
+    /// The contracts in force.
+    pub fn contracts(&self) -> &ContractTable {
+        &self.contracts
+    }
+
+    /// The endpoints known.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// This entry's demand by contract, for its next report.
+    pub fn demand(&mut self, now: Instant) -> Vec<Demand> {
+        self.contracts.demand(now)
+    }
+
+    /// Tasks admitted and not yet started.
+    pub fn queued(&self) -> u64 {
+        self.queued
+    }
+
+    /// Starts that are out, with those of unknown outcome until their deadline.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    fn service(&mut self, key: ServiceKey) -> &mut ServiceState {
+        let index = key.0 as usize;
+        if self.services.len() <= index {
+            self.services.resize_with(index + 1, ServiceState::default);
+        }
+        &mut self.services[index]
+    }
+
+    fn touch_endpoint(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.fleet.get(key) {
+            self.placement.update(key, endpoint);
+            self.dirty.insert(endpoint.service);
+        }
+    }
+
+    fn observe(out: &mut Actions, observation: Observation) {
+        out.push(Action::Observe(observation));
+    }
+}
+
+impl std::fmt::Debug for Router {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Router")
+            .field("entry", &self.settings.entry)
+            .field("queued", &self.queued)
+            .field("in_flight", &self.flights.len())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/hemlock_router/src/router/settle.rs
@@ -0,0 +1,266 @@
+//! Answers of agents to starts.
+
+use hemlock_types::prelude::*;
+
+use super::Router;
+use crate::action::{Actions, Observation, WasteCause};
+use crate::fleet::EndpointKey;
+use crate::flight::{Flight, FlightKey};
+use crate::health::Sample;
+use crate::timers::Timer;
+use crate::work::Work;
+
+/// Lowest HTTP status that reports a failure of the server.
+const SERVER_ERROR: u16 = 500;
+/// How long an endpoint that refused a start is left alone, in milliseconds.
+const REFUSAL_PAUSE_MS: u64 = 5;
+
+impl Router {
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn settled(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        request: RequestId,
+        outcome: Outcome,
+        service_us: u64,
+        granted: u16,
+        out: &mut Actions,
+    ) {
+        self.granted(agent, granted);
+        let Some(key) = self.find_flight(agent, request) else {
+            Self::observe(out, Observation::Wasted(WasteCause::LateAnswer));
+            return;
+        };
+        let Some(flight) = self.take_flight(key) else {
+            return;
+        };
+        self.learn(now, &flight, &outcome, service_us, out);
+        let refused = matches!(outcome, Outcome::NotRun(..));
+        if refused {
+            self.note_refusal(now, &flight, &outcome, out);
+        }
+        match flight.abandoned {
+            true if !refused => Self::observe(out, Observation::Wasted(WasteCause::LateAnswer)),
+            true => {}
+            false => self.settle_task(now, key, &flight, outcome, service_us, out),
+        }
+    }
+
+    /// The start that an answer of the agent settles; `None` when it has settled before, or was
+    /// sent to another agent.
+    pub(super) fn find_flight(&self, agent: Incarnation, request: RequestId) -> Option<FlightKey> {
+        let key = self.flights.find(request)?;
+        let flight = self.flights.get(key)?;
+        let endpoint = self.fleet.get(flight.endpoint);
+        let same = endpoint.is_none_or(|endpoint| endpoint.announcement.agent == agent);
+        (same && !flight.lost).then_some(key)
+    }
+
+    /// Takes a flight out and gives its places at the endpoint and in the contract back.
+    pub(super) fn take_flight(&mut self, key: FlightKey) -> Option<Flight> {
+        let flight = self.flights.remove(key)?;
+        if !flight.lost {
+            self.vacate(flight.endpoint);
+        }
+        let state = self.contracts.state_mut(flight.contract);
+        state.running -= 1;
+        self.unpark(flight.contract);
+        Some(flight)
+    }
+
+    /// Gives a start's place at the endpoint back.
+    pub(super) fn vacate(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.fleet.get_mut(key) {
+            endpoint.in_flight -= 1;
+        }
+        self.touch_endpoint(key);
+    }
+
+    fn learn(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        outcome: &Outcome,
+        service_us: u64,
+        out: &mut Actions,
+    ) {
+        let sample = match outcome {
+            Outcome::Complete(answer) if answer.status >= SERVER_ERROR => Sample::Failed,
+            Outcome::Complete(_) if flight.late => return,
+            Outcome::Complete(_) => Sample::Good,
+            Outcome::Failed(FailureKind::Cancelled) | Outcome::NotRun(..) => return,
+            Outcome::Failed(_) => Sample::Failed,
+        };
+        if matches!(outcome, Outcome::Complete(_)) {
+            self.estimates
+                .learn(flight.operation, service_us, &mut self.rng);
+        }
+        self.judge_endpoint(now, flight.endpoint, sample, out);
+    }
+
+    fn note_refusal(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        outcome: &Outcome,
+        out: &mut Actions,
+    ) {
+        Self::observe(out, Observation::Wasted(WasteCause::Declined));
+        self.rest(now, flight.endpoint);
+        if let Some(endpoint) = self.fleet.get_mut(flight.endpoint)
+            && matches!(outcome, Outcome::NotRun(NotRunReason::Draining, _))
+        {
+            endpoint.leaving = true;
+        }
+        self.touch_endpoint(flight.endpoint);
+    }
+
+    /// Leaves an endpoint alone for a moment after a refusal.
+    pub(super) fn rest(&mut self, now: Instant, key: EndpointKey) {
+        if let Some(endpoint) = self.fleet.get_mut(key) {
+            endpoint.refused_until = now + DurationMs::new(REFUSAL_PAUSE_MS);
+            let at = endpoint.refused_until;
+            self.timers.set(at, Timer::Reopen(key));
+        }
+    }
+
+    fn settle_task(
+        &mut self,
+        now: Instant,
+        key: FlightKey,
+        flight: &Flight,
+        outcome: Outcome,
+        service_us: u64,
+        out: &mut Actions,
+    ) {
+        let Some(work) = self.works.get_mut(flight.task.work) else {
+            return;
+        };
+        let other = detach(work, flight, key);
+        match outcome {
+            Outcome::NotRun(reason, proof) => {
+                self.start_refused(flight, other, reason, proof, out);
+            }
+            Outcome::Failed(kind) => {
+                self.start_failed(now, flight, other, Outcome::Failed(kind), out);
+            }
+            Outcome::Complete(answer) if answer.status >= SERVER_ERROR => {
+                self.start_failed(now, flight, other, Outcome::Complete(answer), out);
+            }
+            Outcome::Complete(answer) => {
+                self.observe_done(now, flight, service_us, out);
+                self.withdraw_other(other, out);
+                let outcome = Outcome::Complete(answer);
+                self.end_task(flight.task.work, flight.task.task, outcome, out);
+            }
+        }
+    }
+
+    fn withdraw_other(&mut self, other: Option<FlightKey>, out: &mut Actions) {
+        if let Some(other) = other {
+            self.abandon(other);
+            Self::observe(out, Observation::Wasted(WasteCause::UnusedHedge));
+        }
+    }
+
+    fn observe_done(&self, now: Instant, flight: &Flight, service_us: u64, out: &mut Actions) {
+        let Some(work) = self.works.get(flight.task.work) else {
+            return;
+        };
+        let customer = self
+            .contracts
+            .state(work.contract)
+            .contract
+            .customer
+            .clone();
+        Self::observe(
+            out,
+            Observation::TaskDone {
+                customer,
+                traceparent: work.traceparent.clone(),
+                response_us: now.micros_since(work.admitted),
+                queued_us: flight.started.micros_since(work.admitted),
+                service_us,
+            },
+        );
+    }
+
+    /// A gate refused the start and will not run it: the task goes elsewhere, free of charge.
+    pub(super) fn start_refused(
+        &mut self,
+        flight: &Flight,
+        other: Option<FlightKey>,
+        reason: NotRunReason,
+        proof: NotRunProof,
+        out: &mut Actions,
+    ) {
+        let most = self.settings.max_placements;
+        let Some(work) = self.works.get_mut(flight.task.work) else {
+            return;
+        };
+        if let Some(submission) = &mut work.submission {
+            submission.unbind(flight.task.task, flight.endpoint);
+        }
+        let task = work.task_mut(flight.task.task);
+        task.refusals = task.refusals.saturating_add(1);
+        task.last_endpoint = None;
+        let spent = task.refusals >= most;
+        match (other, reason) {
+            (Some(_), _) => {}
+            (None, NotRunReason::Deadline | NotRunReason::Cancelled | NotRunReason::Infeasible) => {
+                self.end_unrun(flight, reason, proof, out);
+            }
+            (None, _) if spent => self.end_unrun(flight, NotRunReason::Refused, proof, out),
+            (None, _) => self.requeue(flight.task, out),
+        }
+    }
+
+    fn end_unrun(
+        &mut self,
+        flight: &Flight,
+        reason: NotRunReason,
+        proof: NotRunProof,
+        out: &mut Actions,
+    ) {
+        let outcome = Outcome::NotRun(reason, proof);
+        self.end_task(flight.task.work, flight.task.task, outcome, out);
+    }
+
+    /// A start ran, or may have run, without a good answer. Work that may be sent again is,
+    /// within the contract's budget.
+    pub(super) fn start_failed(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        other: Option<FlightKey>,
+        outcome: Outcome,
+        out: &mut Actions,
+    ) {
+        let Some(work) = self.works.get_mut(flight.task.work) else {
+            return;
+        };
+        work.task_mut(flight.task.task).may_have_run = true;
+        let may_resend = work.may_resend() && now < work.deadline;
+        let retries = &mut self.contracts.state_mut(flight.contract).retries;
+        match other {
+            Some(_) => {}
+            None if may_resend && retries.spend() => {
+                Self::observe(out, Observation::Retried);
+                self.requeue(flight.task, out);
+            }
+            None => self.end_task(flight.task.work, flight.task.task, outcome, out),
+        }
+    }
+}
+
+/// Takes a settled start off its task; returns the other copy that is still out.
+pub(super) fn detach(work: &mut Work, flight: &Flight, key: FlightKey) -> Option<FlightKey> {
+    let task = work.task_mut(flight.task.task);
+    if task.hedge == Some(key) {
+        task.hedge = None;
+        return task.flight;
+    }
+    task.flight = task.hedge.take();
+    task.flight
+}
