--- a/crates/hemlock_quorum/src/config.rs
+++ b/crates/hemlock_quorum/src/config.rs
@@ -32,14 +32,20 @@
     pub snapshot_after_bytes: u64,
     /// Entries kept in memory behind a snapshot, for followers that are a little late.
     pub keep_entries: u64,
+    /// Most bytes of the entries so kept.
+    pub keep_bytes: usize,
     /// Largest command, in bytes.
     pub max_command_bytes: usize,
     /// Most bytes of entries in one message.
     pub max_message_bytes: usize,
     /// Most entries sent to a follower ahead of its answers.
     pub max_ahead_entries: u64,
+    /// Most bytes of entries sent to a follower ahead of its answers.
+    pub max_ahead_bytes: usize,
     /// Most proposals that may wait to be committed.
     pub max_waiting: usize,
+    /// Most bytes of proposals that may wait to be committed.
+    pub max_waiting_bytes: usize,
     /// Bytes of a snapshot in one message.
     pub chunk_bytes: usize,
 }
@@ -58,10 +64,13 @@
             snapshot_after_entries: 10_000,
             snapshot_after_bytes: 8 * 1024 * 1024,
             keep_entries: 1_000,
+            keep_bytes: 2 * 1024 * 1024,
             max_command_bytes: 1024 * 1024,
             max_message_bytes: 512 * 1024,
             max_ahead_entries: 4_096,
+            max_ahead_bytes: 4 * 1024 * 1024,
             max_waiting: 65_536,
+            max_waiting_bytes: 16 * 1024 * 1024,
             chunk_bytes: 256 * 1024,
         }
     }
--- a/crates/hemlock_quorum/src/entry.rs
+++ b/crates/hemlock_quorum/src/entry.rs
@@ -20,6 +20,17 @@
     Members(MemberSet),
 }
 
+impl Payload {
+    /// Roughly the bytes that the payload takes.
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Noop => 0,
+            Self::Command(command) => command.len(),
+            Self::Members(members) => members.iter().count() * ENTRY_OVERHEAD_BYTES,
+        }
+    }
+}
+
 /// One position of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -34,12 +45,7 @@
 impl Entry {
     /// Roughly the bytes that the entry takes.
     pub fn size_bytes(&self) -> usize {
-        let payload = match &self.payload {
-            Payload::Noop => 0,
-            Payload::Command(command) => command.len(),
-            Payload::Members(members) => members.iter().count() * ENTRY_OVERHEAD_BYTES,
-        };
-        payload + ENTRY_OVERHEAD_BYTES
+        self.payload.size_bytes() + ENTRY_OVERHEAD_BYTES
     }
 
     /// The command, if the entry carries one.
--- a/crates/hemlock_quorum/src/lib.rs
+++ b/crates/hemlock_quorum/src/lib.rs
@@ -46,5 +46,7 @@
     pub use crate::quorum::Quorum;
     pub use crate::snapshot::Snapshot;
     pub use crate::status::{QuorumRole, QuorumStatus};
-    pub use crate::storage::{MemoryStorage, Storage, StorageError, perform};
+    pub use crate::storage::{
+        DiskIdentity, FileStorage, MemoryStorage, Storage, StorageError, perform,
+    };
 }
--- a/crates/hemlock_quorum/src/log.rs
+++ b/crates/hemlock_quorum/src/log.rs
@@ -139,8 +139,25 @@
         entries
     }
 
+    /// Drops from memory all but the last entries before `index`.
+    pub(crate) fn keep_behind(&mut self, index: LogIndex, max_entries: u64, max_bytes: usize) {
+        let mut first_kept = index.next();
+        let mut bytes = 0;
+        while index.next().since(first_kept) < max_entries {
+            let Some(entry) = self.get(first_kept.prev()) else {
+                break;
+            };
+            bytes += entry.size_bytes();
+            if bytes > max_bytes {
+                break;
+            }
+            first_kept = entry.index;
+        }
+        self.drop_through(first_kept.prev());
+    }
+
     /// Drops the entries up to `to` from memory.
-    pub(crate) fn drop_through(&mut self, to: LogIndex) {
+    fn drop_through(&mut self, to: LogIndex) {
         let Some(term) = self.term_at(to) else { return };
         assert!(to < self.unsaved_from, "the disk has what memory drops");
         let count = usize::try_from(to.since(self.base_index)).unwrap_or(usize::MAX);
--- a/crates/hemlock_quorum/src/quorum.rs
+++ b/crates/hemlock_quorum/src/quorum.rs
@@ -57,6 +57,7 @@
     applied_bytes: u64,
     snapshot: Option<Snapshot>,
     snapshot_asked: bool,
+    snapshot_after_entries: u64,
     incoming: Option<Incoming>,
     /// Up to where the log is known to agree with the leader's.
     agreed: LogIndex,
@@ -111,6 +112,7 @@
         let last = log.last_index();
         Ok(Self {
             founding: Founding::new(&config, empty),
+            snapshot_after_entries: config.snapshot_after_entries,
             config,
             rng: Pcg32::seed_from_u64(seed),
             now: Instant::ZERO,
@@ -245,6 +247,11 @@
         leading.followers.iter().map(status).collect()
     }
 
+    /// The leader, as far as this keeper knows.
+    pub fn leader(&self) -> Option<KeeperId> {
+        self.leader
+    }
+
     /// When the next [`Event::Tick`] is due.
     pub fn next_deadline(&self) -> Instant {
         match &self.role {
--- a/crates/hemlock_quorum/src/quorum/commit.rs
+++ b/crates/hemlock_quorum/src/quorum/commit.rs
@@ -1,7 +1,7 @@
 //! Commits entries and has them applied.
 
 use super::Quorum;
-use super::role_state::RoleState;
+use super::role_state::{RoleState, Waiting};
 use crate::action::Action;
 use crate::entry::{Entry, Payload};
 use crate::ids::LogIndex;
@@ -61,11 +61,12 @@
         let due = leading
             .waiting
             .front()
-            .is_some_and(|(waiting, _)| *waiting == index);
+            .is_some_and(|waiting| waiting.index == index);
         if !due {
             return;
         }
-        if let Some((_, token)) = leading.waiting.pop_front() {
+        if let Some(Waiting { token, bytes, .. }) = leading.waiting.pop_front() {
+            leading.waiting_bytes -= bytes;
             let result = Ok(index);
             self.out.push(Action::ProposalDone { token, result });
         }
--- a/crates/hemlock_quorum/src/quorum/election.rs
+++ b/crates/hemlock_quorum/src/quorum/election.rs
@@ -3,12 +3,12 @@
 use hemlock_types::ids::Incarnation;
 
 use super::Quorum;
-use super::role_state::{Ballot, Leading, RoleState};
+use super::role_state::{Ballot, Leading, RoleState, Waiting};
 use crate::action::Action;
 use crate::disk_work::HardState;
 use crate::entry::Payload;
 use crate::error::ProposeError;
-use crate::ids::{KeeperId, Term};
+use crate::ids::{KeeperId, LogIndex, Term};
 use crate::message::{Body, VoteReply, VoteRequest};
 
 impl Quorum {
@@ -227,7 +227,7 @@
 
     fn give_up_leading(&mut self, leading: Leading) {
         let leader = self.leader;
-        for (_, token) in leading.waiting {
+        for Waiting { token, .. } in leading.waiting {
             let result = Err(ProposeError::Undecided(leader));
             self.out.push(Action::ProposalDone { token, result });
         }
@@ -243,7 +243,7 @@
         }
     }
 
-    fn led_term(&self, first_index: crate::ids::LogIndex) -> Term {
+    fn led_term(&self, first_index: LogIndex) -> Term {
         self.log.term_at(first_index).unwrap_or(self.hard.term)
     }
 
--- a/crates/hemlock_quorum/src/quorum/follower.rs
+++ b/crates/hemlock_quorum/src/quorum/follower.rs
@@ -1,5 +1,7 @@
 //! What a leader knows of each follower.
 
+use std::collections::VecDeque;
+
 use hemlock_types::ids::Incarnation;
 use hemlock_types::time::Instant;
 
@@ -36,6 +38,9 @@
     pub(crate) mode: Mode,
     /// When the latest message that it has answered was sent.
     pub(crate) heard: Option<Instant>,
+    /// Messages of entries sent ahead: the last entry and the bytes of each.
+    ahead: VecDeque<(LogIndex, usize)>,
+    ahead_bytes: usize,
 }
 
 impl Follower {
@@ -46,9 +51,39 @@
             next,
             mode: Mode::Stream,
             heard: None,
+            ahead: VecDeque::new(),
+            ahead_bytes: 0,
+        }
+    }
+
+    /// Notes that a message of entries was sent.
+    pub(crate) fn send_ahead(&mut self, last: LogIndex, bytes: usize) {
+        self.next = last.next();
+        self.ahead.push_back((last, bytes));
+        self.ahead_bytes += bytes;
+    }
+
+    /// Whether the entries sent ahead leave room for more.
+    pub(crate) fn has_room(&self, max_entries: u64, max_bytes: usize) -> bool {
+        let entries = self.next.prev().since(self.matched);
+        entries < max_entries && self.ahead_bytes < max_bytes
+    }
+
+    fn note_answered(&mut self) {
+        while let Some((last, bytes)) = self.ahead.front().copied() {
+            if last > self.matched {
+                break;
+            }
+            self.ahead_bytes -= bytes;
+            self.ahead.pop_front();
         }
     }
 
+    fn forget_ahead(&mut self) {
+        self.ahead.clear();
+        self.ahead_bytes = 0;
+    }
+
     pub(crate) fn is_streaming(&self) -> bool {
         matches!(self.mode, Mode::Stream)
     }
@@ -69,6 +104,7 @@
     /// Notes that the follower holds the log durably up to `matched`.
     pub(crate) fn advance(&mut self, matched: LogIndex) {
         self.matched = self.matched.max(matched);
+        self.note_answered();
         self.next = self.next.max(self.matched.next());
         let resume = match &self.mode {
             Mode::Stream => false,
@@ -78,6 +114,7 @@
         if resume {
             self.mode = Mode::Stream;
             self.next = self.matched.next();
+            self.forget_ahead();
         }
     }
 
@@ -94,5 +131,6 @@
         let next = hint.next().min(refused_prev);
         self.next = next.max(self.matched.next());
         self.mode = Mode::Probe;
+        self.forget_ahead();
     }
 }
--- a/crates/hemlock_quorum/src/quorum/leading.rs
+++ b/crates/hemlock_quorum/src/quorum/leading.rs
@@ -23,7 +23,8 @@
         }
     }
 
-    pub(super) fn is_serving(&self) -> bool {
+    /// Whether this keeper leads and has applied all earlier leaders' entries.
+    pub fn is_serving(&self) -> bool {
         self.leading().is_some_and(|leading| leading.serving)
     }
 
@@ -74,7 +75,8 @@
         values.get(members.quorum() - 1).copied()
     }
 
-    /// Until when no other keeper can have become leader.
+    /// Until when no other keeper can have become leader, if this one leads and a quorum has
+    /// answered it.
     pub fn lease_until(&self) -> Option<Instant> {
         let leading = self.leading()?;
         match self.quorum_heard(leading) {
--- a/crates/hemlock_quorum/src/quorum/members.rs
+++ b/crates/hemlock_quorum/src/quorum/members.rs
@@ -72,7 +72,7 @@
         let Some(follower) = follower else {
             return Err(ProposeError::InvalidChange(id));
         };
-        match self.has_caught_up(follower) {
+        match self.has_caught_up(id, follower) {
             true => Ok(self
                 .log
                 .members()
@@ -82,11 +82,16 @@
         }
     }
 
-    fn has_caught_up(&self, follower: &Follower) -> bool {
-        let answers = follower
-            .heard
-            .is_some_and(|heard| self.now < heard + DurationMs::new(self.config.election_min_ms));
-        answers
+    /// Whether a member has answered lately in the life of its disk that the set names.
+    fn answers(&self, id: KeeperId) -> bool {
+        let patience = DurationMs::new(self.config.election_min_ms);
+        self.leading()
+            .and_then(|leading| leading.followers.get(&id)?.heard)
+            .is_some_and(|heard| self.now < heard + patience)
+    }
+
+    fn has_caught_up(&self, id: KeeperId, follower: &Follower) -> bool {
+        self.answers(id)
             && follower.is_streaming()
             && self.commit.since(follower.matched) <= PROMOTION_LAG_ENTRIES
     }
@@ -115,7 +120,8 @@
         let replaced = |(id, member): (KeeperId, Member)| {
             let incarnation = self.joined(id)?;
             let other = incarnation != member.incarnation && id != self.config.me;
-            other.then_some(MemberChange::Replace { id, incarnation })
+            let due = other && !self.answers(id);
+            due.then_some(MemberChange::Replace { id, incarnation })
         };
         self.log.members().iter().find_map(replaced)
     }
@@ -127,7 +133,7 @@
             .iter()
             .filter(|(_, member)| member.kind == MemberKind::Learner)
             .filter_map(|(id, _)| Some((id, leading.followers.get(&id)?)))
-            .find(|(_, follower)| self.has_caught_up(follower))
+            .find(|(id, follower)| self.has_caught_up(*id, follower))
             .map(|(id, _)| MemberChange::Promote(id))
     }
 }
--- a/crates/hemlock_quorum/src/quorum/proposals.rs
+++ b/crates/hemlock_quorum/src/quorum/proposals.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 
 use super::Quorum;
-use super::role_state::PendingRead;
+use super::role_state::{Leading, PendingRead, Waiting};
 use crate::action::Action;
 use crate::entry::Payload;
 use crate::error::ProposeError;
-use crate::ids::{LogIndex, ProposalToken};
+use crate::ids::ProposalToken;
 
 impl Quorum {
     pub(super) fn propose(&mut self, token: ProposalToken, command: Bytes) {
@@ -29,8 +29,13 @@
     ) {
         match payload {
             Ok(payload) => {
+                let bytes = payload.size_bytes();
                 let index = self.append_own(payload);
-                self.wait_for(index, token);
+                self.wait_for(Waiting {
+                    index,
+                    token,
+                    bytes,
+                });
             }
             Err(error) => {
                 let result = Err(error);
@@ -39,9 +44,10 @@
         }
     }
 
-    fn wait_for(&mut self, index: LogIndex, token: ProposalToken) {
+    fn wait_for(&mut self, waiting: Waiting) {
         if let Some(leading) = self.leading_mut() {
-            leading.waiting.push_back((index, token));
+            leading.waiting_bytes += waiting.bytes;
+            leading.waiting.push_back(waiting);
         }
     }
 
@@ -53,11 +59,16 @@
         match &leading.hand_over {
             _ if !leading.serving => Err(ProposeError::NotLeader(None)),
             Some(hand_over) => Err(ProposeError::HandingOver(hand_over.to)),
-            None if leading.waiting.len() >= self.config.max_waiting => Err(ProposeError::Busy),
+            None if self.is_full(leading) => Err(ProposeError::Busy),
             None => Ok(()),
         }
     }
 
+    fn is_full(&self, leading: &Leading) -> bool {
+        leading.waiting.len() >= self.config.max_waiting
+            || leading.waiting_bytes >= self.config.max_waiting_bytes
+    }
+
     pub(super) fn confirm_read(&mut self, token: ProposalToken) {
         let asked = self.now;
         let leader = self.leader;
--- a/crates/hemlock_quorum/src/quorum/replication.rs
+++ b/crates/hemlock_quorum/src/quorum/replication.rs
@@ -84,12 +84,13 @@
             return false;
         };
         let (next, last) = (follower.next, self.log.last_index());
-        let ahead = next.prev().since(follower.matched);
+        let (entries, bytes) = (self.config.max_ahead_entries, self.config.max_ahead_bytes);
+        let has_room = follower.has_room(entries, bytes);
         if next <= self.log.base_index() && !follower.is_in_snapshot() {
             self.start_transfer(id);
             return false;
         }
-        if !follower.is_streaming() || next > last || ahead >= self.config.max_ahead_entries {
+        if !follower.is_streaming() || next > last || !has_room {
             return false;
         }
         let entries = self.log.slice(next, last, self.config.max_message_bytes);
@@ -129,7 +130,8 @@
         if let Some(last) = entries.last().map(|entry| entry.index)
             && let Some(follower) = self.follower_mut(id, incarnation)
         {
-            follower.next = last.next();
+            let bytes = entries.iter().map(Entry::size_bytes).sum();
+            follower.send_ahead(last, bytes);
         }
         let body = Body::Append(Append {
             prev_index,
--- a/crates/hemlock_quorum/src/quorum/role_state.rs
+++ b/crates/hemlock_quorum/src/quorum/role_state.rs
@@ -47,7 +47,8 @@
     /// Whether that entry has been applied.
     pub(crate) serving: bool,
     pub(crate) followers: BTreeMap<KeeperId, Follower>,
-    pub(crate) waiting: VecDeque<(LogIndex, ProposalToken)>,
+    pub(crate) waiting: VecDeque<Waiting>,
+    pub(crate) waiting_bytes: usize,
     pub(crate) reads: Vec<PendingRead>,
     pub(crate) next_heartbeat: Instant,
     /// Whether a question waits for answers to a heartbeat that was not sent yet.
@@ -65,6 +66,7 @@
             serving: false,
             followers: BTreeMap::new(),
             waiting: VecDeque::new(),
+            waiting_bytes: 0,
             reads: Vec::new(),
             next_heartbeat: now,
             round_due: false,
@@ -74,6 +76,14 @@
     }
 }
 
+/// A proposal that is not committed yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) index: LogIndex,
+    pub(crate) token: ProposalToken,
+    pub(crate) bytes: usize,
+}
+
 /// A question whether the leader still leads.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingRead {
--- a/crates/hemlock_quorum/src/quorum/snapshots.rs
+++ b/crates/hemlock_quorum/src/quorum/snapshots.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use hemlock_types::ids::Incarnation;
 use hemlock_types::time::DurationMs;
+use rand::RngExt;
 
 use super::Quorum;
 use super::follower::{Mode, Transfer};
@@ -15,6 +16,9 @@
 /// Heartbeats after which an unanswered piece is sent again.
 const RESEND_AFTER_HEARTBEATS: u64 = 2;
 
+/// The part of the entries between snapshots by which a keeper puts off its own.
+const SNAPSHOT_SPREAD: u64 = 2;
+
 /// A snapshot that is being received.
 #[derive(Debug)]
 pub(crate) struct Incoming {
@@ -25,7 +29,7 @@
 impl Quorum {
     pub(super) fn ask_for_snapshot(&mut self) {
         let entries = self.applied.since(self.snapshot_index());
-        let due = entries >= self.config.snapshot_after_entries
+        let due = entries >= self.snapshot_after_entries
             || self.applied_bytes >= self.config.snapshot_after_bytes;
         if due && !self.snapshot_asked {
             self.snapshot_asked = true;
@@ -34,6 +38,13 @@
         }
     }
 
+    /// Draws when the next snapshot is due, so that the keepers don't all take theirs at once.
+    fn spread_snapshots(&mut self) {
+        let least = self.config.snapshot_after_entries;
+        let spread = self.rng.random_range(0..=least / SNAPSHOT_SPREAD);
+        self.snapshot_after_entries = least + spread;
+    }
+
     pub(super) fn store_snapshot(&mut self, index: LogIndex, data: Bytes) {
         self.snapshot_asked = false;
         let outdated = index <= self.snapshot_index() || index > self.applied;
@@ -50,10 +61,9 @@
         self.applied_bytes = 0;
         self.snapshot = Some(snapshot.clone());
         self.persist_snapshot(snapshot, |id, snapshot| DiskWork::Compact { id, snapshot });
-        let drop_through = LogIndex(index.0.saturating_sub(self.config.keep_entries));
-        if drop_through > self.log.base_index() {
-            self.log.drop_through(drop_through);
-        }
+        self.spread_snapshots();
+        let (entries, bytes) = (self.config.keep_entries, self.config.keep_bytes);
+        self.log.keep_behind(index, entries, bytes);
     }
 
     /// Starts to send the latest snapshot to a follower that lacks entries no longer held.
--- a/crates/hemlock_quorum/src/storage.rs
+++ b/crates/hemlock_quorum/src/storage.rs
@@ -1,9 +1,20 @@
 //! The keeper's disk behind a trait.
 
+mod disk_io;
 mod error;
+mod file;
+mod frame;
+mod header;
+mod identity;
 mod memory;
+mod segment;
+mod snapshot_file;
 
+pub use disk_io::StorageStats;
 pub use error::StorageError;
+pub use file::FileStorage;
+pub use header::FORMAT_VERSION;
+pub use identity::DiskIdentity;
 pub use memory::MemoryStorage;
 
 use crate::disk_work::{DiskWork, PersistBatch, RecoveredState};
--- a/crates/hemlock_quorum/src/storage/error.rs
+++ b/crates/hemlock_quorum/src/storage/error.rs
@@ -46,6 +46,11 @@
         InUse(path: PathBuf) {
             display("another process uses {}; stop it first", path.display())
         }
+        /// An earlier write failed, so that the state on disk is unknown.
+        Stopped(path: PathBuf) {
+            display("an earlier write to {} failed; mend that and start the keeper again",
+                    path.display())
+        }
         /// An entry is larger than a record may be.
         TooLarge(size_bytes: usize) {
             display("a record of {size_bytes} bytes is too large for the log; split the command")
--- /dev/null
+++ b/crates/hemlock_quorum/src/storage/header.rs
@@ -0,0 +1,57 @@
+//! The first bytes of every file: its kind and its format version.
+
+use std::path::Path;
+
+use super::StorageError;
+use super::frame::corrupt;
+
+/// Version of the files' format.
+pub const FORMAT_VERSION: u32 = 1;
+
+/// Length of a file's header in bytes.
+pub(super) const FILE_HEADER_BYTES: usize = 12;
+
+/// What a file holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FileKind {
+    Identity,
+    Segment,
+    Snapshot,
+}
+
+impl FileKind {
+    fn magic(self) -> &'static [u8; 8] {
+        match self {
+            Self::Identity => b"HEMLK-ID",
+            Self::Segment => b"HEMLKLOG",
+            Self::Snapshot => b"HEMLKSNP",
+        }
+    }
+
+    /// A file's header.
+    pub(super) fn header(self) -> Vec<u8> {
+        let mut bytes = self.magic().to_vec();
+        bytes.extend(FORMAT_VERSION.to_le_bytes());
+        bytes
+    }
+
+    /// Checks a file's header.
+    pub(super) fn check(self, path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
+        let Some(header) = bytes.get(..FILE_HEADER_BYTES) else {
+            return Err(corrupt(path, 0, "short file header"));
+        };
+        let (magic, version) = header.split_at(self.magic().len());
+        if magic != self.magic() {
+            return Err(corrupt(path, 0, "wrong kind of file"));
+        }
+        let found = u32::from_le_bytes([version[0], version[1], version[2], version[3]]);
+        match found {
+            FORMAT_VERSION => Ok(()),
+            _ => Err(StorageError::WrongVersion(
+                path.to_owned(),
+                found,
+                FORMAT_VERSION,
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/tools/bench/src/cluster/layout.rs
@@ -0,0 +1,183 @@
+//! Addresses and settings of the programs of one run.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+
+use hemlock_types::digest::Digest;
+use serde_json::{Value, json};
+
+use crate::error::BenchError;
+use crate::options::Deployment;
+
+/// Secret that the processes of a run share.
+pub(crate) const CLUSTER_KEY: &str = "bench-cluster-key";
+/// Key that operators present.
+pub(crate) const OPERATOR_KEY: &str = "bench-operator-key";
+/// Cores of each worker.
+const WORKER_CORES: u32 = 64;
+/// Memory of each worker in megabytes.
+const WORKER_MEMORY_MB: u64 = 256 * 1024;
+/// Workers in one rack.
+const RACK_WORKERS: usize = 3;
+/// Slots of each endpoint instance.
+pub(crate) const ENDPOINT_SLOTS: u16 = 8;
+/// Connections of each endpoint instance.
+const ENDPOINT_CONNECTIONS: u16 = 64;
+
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub(crate) struct Spec {
+    /// Whose failure domains and service it takes.
+    pub(crate) deployment: Deployment,
+    /// Keepers.
+    pub(crate) keepers: usize,
+    /// Entries.
+    pub(crate) entries: usize,
+    /// Endpoint instances, each with its agent.
+    pub(crate) endpoints: usize,
+    /// Placement policy of the entries.
+    pub(crate) policy: String,
+    /// Seed of the entries.
+    pub(crate) seed: u64,
+    /// Delay added to each sync of a keeper, in milliseconds.
+    pub(crate) sync_delay_ms: u64,
+    /// One-way latency between entries and agents, in microseconds.
+    pub(crate) latency_us: u64,
+}
+
+/// Addresses of one program.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Addresses {
+    /// Where it serves the system's own processes.
+    pub(crate) wire: SocketAddr,
+    /// Where it serves HTTP.
+    pub(crate) http: SocketAddr,
+    /// Where entries reach it: a relay, or the same as `wire`.
+    pub(crate) reached: SocketAddr,
+}
+
+/// Draws free loopback addresses.
+///
+/// # Errors
+///
+/// [`BenchError::Io`] when there are none.
+pub(crate) fn free_addresses(count: usize) -> Result<Vec<Addresses>, BenchError> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listeners = (0..count * 3)
+        .map(|_| TcpListener::bind(any))
+        .collect::<Result<Vec<_>, _>>()?;
+    let addresses = listeners
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<Vec<_>, _>>()?;
+    let group = |three: &[SocketAddr]| Addresses {
+        wire: three[0],
+        http: three[1],
+        reached: three[2],
+    };
+    Ok(addresses.chunks(3).map(group).collect())
+}
+
+/// Settings of keeper `index`.
+pub(crate) fn keeper_settings(
+    spec: &Spec,
+    keepers: &[Addresses],
+    index: usize,
+    folder: &Path,
+) -> Value {
+    let members: Vec<Value> = keepers
+        .iter()
+        .enumerate()
+        .map(|(member, at)| json!({ "id": member + 1, "address": at.wire }))
+        .collect();
+    json!({
+        "cluster": "bench",
+        "cluster_key": CLUSTER_KEY,
+        "keeper_id": index + 1,
+        "data_folder": folder.join(format!("keeper-{index}")),
+        "wire_address": keepers[index].wire,
+        "http_address": keepers[index].http,
+        "domain": domain_of(spec, index),
+        "keepers": members,
+        "operator_key_sha256": [Digest::of_key(OPERATOR_KEY.as_bytes()).to_string()],
+        "sync_delay_ms": spec.sync_delay_ms,
+    })
+}
+
+/// Settings of entry `index`.
+pub(crate) fn entry_settings(
+    spec: &Spec,
+    keepers: &[Addresses],
+    entry: Addresses,
+    index: usize,
+) -> Value {
+    json!({
+        "cluster": "bench",
+        "cluster_key": CLUSTER_KEY,
+        "http_address": entry.http,
+        "domain": domain_of(spec, index),
+        "keepers": keepers.iter().map(|at| at.wire).collect::<Vec<_>>(),
+        "policy": spec.policy,
+        "seed": spec.seed + index as u64,
+    })
+}
+
+/// Settings of the agent of endpoint `index`.
+pub(crate) fn agent_settings(
+    spec: &Spec,
+    keepers: &[Addresses],
+    agent: Addresses,
+    index: usize,
+    endpoint: SocketAddr,
+) -> Value {
+    json!({
+        "cluster": "bench",
+        "cluster_key": CLUSTER_KEY,
+        "wire_address": agent.wire,
+        "advertised_address": agent.reached,
+        "http_address": agent.http,
+        "domain": domain_of(spec, index),
+        "rack": format!("rack-{}", index / RACK_WORKERS),
+        "keepers": keepers.iter().map(|at| at.wire).collect::<Vec<_>>(),
+        "cores": WORKER_CORES,
+        "memory_mb": WORKER_MEMORY_MB,
+        "endpoint": {
+            "service": spec.deployment.service(),
+            "slots": ENDPOINT_SLOTS,
+            "connections": ENDPOINT_CONNECTIONS,
+            "address": endpoint,
+        },
+    })
+}
+
+fn domain_of(spec: &Spec, index: usize) -> &'static str {
+    let domains = spec.deployment.domains();
+    domains[index % domains.len()]
+}
+
+/// The contract of a bench customer, whose limits bind nothing unless `max_running` does.
+pub(crate) fn contract(
+    spec: &Spec,
+    customer: &str,
+    revision: u64,
+    urgency: &str,
+    max_running: u32,
+) -> Value {
+    json!({
+        "customer": customer,
+        "revision": revision,
+        "key_sha256": [Digest::of_key(contract_key(customer).as_bytes()).to_string()],
+        "services": [spec.deployment.service()],
+        "max_running": max_running,
+        "max_queued": 100_000,
+        "urgency": urgency,
+        "non_idempotent": [{ "service": spec.deployment.service(), "operation": "reserve" }],
+        "deadline_ms": 60_000,
+        "deadline_cap_ms": 120_000,
+    })
+}
+
+/// The key of a bench customer.
+pub(crate) fn contract_key(customer: &str) -> String {
+    format!("bench-key-of-{customer}")
+}
--- /dev/null
+++ b/tools/bench/src/cluster/running.rs
@@ -0,0 +1,346 @@
+//! A running cluster of separate processes, with stand-in endpoints in the bench itself.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlock_standin::{StandinConfig, StandinEndpoint, StandinHost};
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::cluster::layout::{self, Addresses, OPERATOR_KEY, Spec};
+use crate::cluster::metrics::Counters;
+use crate::cluster::process::Process;
+use crate::cluster::relay::{Relays, Silence};
+use crate::error::BenchError;
+
+/// Start of the keys of work that must start once.
+pub(crate) const ONCE_PREFIX: &str = "once-";
+/// Threads that serve the stand-in endpoints.
+const ENDPOINT_THREADS: usize = 2;
+/// Longest time for a cluster to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Pause between looks at a program that is not ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+/// Longest wait for an operator's call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// One program with its addresses.
+pub(crate) struct Member {
+    /// The process.
+    pub(crate) process: Process,
+    /// Its addresses.
+    pub(crate) addresses: Addresses,
+}
+
+/// Answer to an operator's call.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorAnswer {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Body.
+    pub(crate) body: String,
+}
+
+/// A running cluster. Dropping it kills every process of it.
+pub(crate) struct Cluster {
+    /// What it consists of.
+    pub(crate) spec: Spec,
+    /// Keepers.
+    pub(crate) keepers: Vec<Member>,
+    /// Entries.
+    pub(crate) entries: Vec<Member>,
+    /// Agents, one to an endpoint.
+    pub(crate) agents: Vec<Member>,
+    /// Stand-in endpoints.
+    pub(crate) endpoints: Vec<StandinEndpoint>,
+    /// Silence of the relay in front of each agent; empty without relays.
+    pub(crate) silences: Vec<Arc<Silence>>,
+    host: StandinHost,
+    _relays: Option<Relays>,
+    folder: TempDir,
+}
+
+impl Cluster {
+    /// Starts every program and waits until each is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError`] when a program is missing, can't start, or isn't ready in time.
+    pub(crate) fn start(spec: Spec) -> Result<Self, BenchError> {
+        let folder = tempfile::tempdir()?;
+        let keeper_addresses = layout::free_addresses(spec.keepers)?;
+        let entry_addresses = layout::free_addresses(spec.entries)?;
+        let mut agent_addresses = layout::free_addresses(spec.endpoints)?;
+        let relays = start_relays(&spec, &mut agent_addresses)?;
+        let mut cluster = Self {
+            spec,
+            keepers: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            endpoints: Vec::new(),
+            silences: Vec::new(),
+            host: StandinHost::start(ENDPOINT_THREADS)?,
+            _relays: None,
+            folder,
+        };
+        if let Some((relays, silences)) = relays {
+            cluster._relays = Some(relays);
+            cluster.silences = silences;
+        }
+        cluster.start_keepers(&keeper_addresses)?;
+        cluster.start_agents(&keeper_addresses, &agent_addresses)?;
+        cluster.start_entries(&keeper_addresses, &entry_addresses)?;
+        cluster.wait_until_ready()?;
+        Ok(cluster)
+    }
+
+    fn start_keepers(&mut self, addresses: &[Addresses]) -> Result<(), BenchError> {
+        for (index, at) in addresses.iter().enumerate() {
+            let settings =
+                layout::keeper_settings(&self.spec, addresses, index, self.folder.path());
+            self.keepers
+                .push(self.start_member("hemlock-keeper", index, *at, &settings)?);
+        }
+        Ok(())
+    }
+
+    fn start_agents(
+        &mut self,
+        keepers: &[Addresses],
+        addresses: &[Addresses],
+    ) -> Result<(), BenchError> {
+        for (index, at) in addresses.iter().enumerate() {
+            let config = StandinConfig::new(self.spec.deployment.service())
+                .with_seed(self.spec.seed + index as u64);
+            let endpoint = self.host.add(config)?;
+            let settings =
+                layout::agent_settings(&self.spec, keepers, *at, index, endpoint.address());
+            self.endpoints.push(endpoint);
+            self.agents
+                .push(self.start_member("hemlock-agent", index, *at, &settings)?);
+        }
+        Ok(())
+    }
+
+    fn start_entries(
+        &mut self,
+        keepers: &[Addresses],
+        addresses: &[Addresses],
+    ) -> Result<(), BenchError> {
+        for (index, at) in addresses.iter().enumerate() {
+            let settings = layout::entry_settings(&self.spec, keepers, *at, index);
+            self.entries
+                .push(self.start_member("hemlock-entry", index, *at, &settings)?);
+        }
+        Ok(())
+    }
+
+    fn start_member(
+        &self,
+        program: &str,
+        index: usize,
+        addresses: Addresses,
+        settings: &Value,
+    ) -> Result<Member, BenchError> {
+        let name = format!("{program}-{index}");
+        let process = Process::start(program, self.folder.path(), &name, settings)?;
+        Ok(Member { process, addresses })
+    }
+
+    fn wait_until_ready(&self) -> Result<(), BenchError> {
+        for member in self.keepers.iter().chain(&self.entries) {
+            wait_ready(member.addresses.http)?;
+        }
+        self.wait_for_endpoints(self.agents.len())
+    }
+
+    /// Waits until the keepers list `count` endpoints.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::NotReady`] when they don't in time.
+    pub(crate) fn wait_for_endpoints(&self, count: usize) -> Result<(), BenchError> {
+        let start = Instant::now();
+        while start.elapsed() < READY_LIMIT {
+            let listed = self.operator("GET", "/v1/endpoints", None).map(|answer| {
+                let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+                list.get("endpoints")
+                    .and_then(Value::as_array)
+                    .map_or(0, Vec::len)
+            });
+            match listed {
+                Ok(found) if found >= count => return Ok(()),
+                _ => std::thread::sleep(READY_POLL),
+            }
+        }
+        Err(BenchError::NotReady(
+            "the keepers don't list every endpoint",
+        ))
+    }
+
+    /// Makes an operator's call to the first keeper that answers.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Call`] when none answers.
+    pub(crate) fn operator(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<OperatorAnswer, BenchError> {
+        let mut last = Err(BenchError::NotReady("no keeper answers"));
+        for keeper in &self.keepers {
+            last = operator_call(keeper.addresses.http, method, path, body);
+            if matches!(&last, Ok(answer) if answer.status != 503) {
+                return last;
+            }
+        }
+        last
+    }
+
+    /// Applies a contract and waits until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Refused`] when the keepers refuse it.
+    pub(crate) fn apply_contract(&self, contract: &Value) -> Result<(), BenchError> {
+        let customer = contract["customer"].as_str().unwrap_or_default();
+        let path = format!("/v1/contracts/{customer}?wait=in-force");
+        let answer = self.operator("PUT", &path, Some(contract))?;
+        match answer.status {
+            200 | 201 => Ok(()),
+            status => Err(BenchError::Refused("the contract", status, answer.body)),
+        }
+    }
+
+    /// HTTP addresses of the entries.
+    pub(crate) fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry.addresses.http)
+            .collect()
+    }
+
+    /// Counters of entries and agents together.
+    pub(crate) fn counters(&self) -> Counters {
+        let mut counters = Counters::default();
+        for member in self.entries.iter().chain(&self.agents) {
+            counters.add_from(member.addresses.http);
+        }
+        counters
+    }
+
+    /// How often each key of work that must start once has started, over all endpoints.
+    pub(crate) fn key_starts(&self) -> HashMap<String, u64> {
+        let mut starts = HashMap::new();
+        for endpoint in &self.endpoints {
+            let keys = endpoint.key_starts();
+            for (key, count) in keys
+                .into_iter()
+                .filter(|(key, _)| key.starts_with(ONCE_PREFIX))
+            {
+                *starts.entry(key).or_default() += u64::from(count);
+            }
+        }
+        starts
+    }
+
+    /// Starts beyond the first of what must start once, as all endpoints together saw them.
+    pub(crate) fn duplicate_starts(&self) -> u64 {
+        let mut starts: HashMap<(String, String), u64> = HashMap::new();
+        for endpoint in &self.endpoints {
+            for (task, count) in endpoint.task_starts() {
+                *starts.entry(task).or_default() += u64::from(count);
+            }
+            let keys = endpoint.key_starts();
+            for (key, count) in keys
+                .into_iter()
+                .filter(|(key, _)| key.starts_with(ONCE_PREFIX))
+            {
+                *starts.entry((key, String::new())).or_default() += u64::from(count);
+            }
+        }
+        starts.values().map(|count| count - 1).sum()
+    }
+
+    /// Position of the leading keeper, if one says that it leads.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        self.keepers.iter().position(|keeper| {
+            let status = operator_call(keeper.addresses.http, "GET", "/v1/status", None);
+            let body: Value = status
+                .ok()
+                .and_then(|answer| serde_json::from_str(&answer.body).ok())
+                .unwrap_or_default();
+            body["role"] == "leader" || body["is_leader"] == true
+        })
+    }
+}
+
+/// The relays of a run, with the silence of each.
+type StartedRelays = (Relays, Vec<Arc<Silence>>);
+
+fn start_relays(
+    spec: &Spec,
+    agents: &mut [Addresses],
+) -> Result<Option<StartedRelays>, BenchError> {
+    if spec.latency_us == 0 {
+        agents.iter_mut().for_each(|at| at.reached = at.wire);
+        return Ok(None);
+    }
+    let relays = Relays::start(spec.latency_us)?;
+    let silences = agents
+        .iter()
+        .map(|at| relays.add(at.reached, at.wire))
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok(Some((relays, silences)))
+}
+
+/// Makes an operator's call to one keeper.
+///
+/// # Errors
+///
+/// [`BenchError::Call`] when it doesn't answer.
+pub(crate) fn operator_call(
+    keeper: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<OperatorAnswer, BenchError> {
+    let url = format!("http://{keeper}{path}");
+    let request = match method {
+        "PUT" => attohttpc::put(url),
+        "POST" => attohttpc::post(url),
+        "DELETE" => attohttpc::delete(url),
+        _ => attohttpc::get(url),
+    };
+    let text = body.map(Value::to_string).unwrap_or_default();
+    let response = request
+        .timeout(CALL_TIMEOUT)
+        .header("Authorization", format!("Bearer {OPERATOR_KEY}"))
+        .header("Content-Type", "application/json")
+        .text(text)
+        .send()?;
+    Ok(OperatorAnswer {
+        status: response.status().as_u16(),
+        body: response.text()?,
+    })
+}
+
+fn wait_ready(address: SocketAddr) -> Result<(), BenchError> {
+    let start = Instant::now();
+    while start.elapsed() < READY_LIMIT {
+        match attohttpc::get(format!("http://{address}/readyz"))
+            .timeout(CALL_TIMEOUT)
+            .send()
+        {
+            Ok(response) if response.is_success() => return Ok(()),
+            _ => std::thread::sleep(READY_POLL),
+        }
+    }
+    Err(BenchError::NotReady(
+        "a program's /readyz does not turn 200",
+    ))
+}
