--- a/crates/hemlock_keeper/src/shell/storage.rs
+++ b/crates/hemlock_keeper/src/shell/storage.rs
@@ -6,8 +6,11 @@
 
 use crate::error::KeeperError;
 
-/// Opens the data folder.
+/// Opens the data folder. An empty one becomes this keeper's disk, under a new incarnation.
 pub(super) fn open(settings: &KeeperSettings) -> Result<Box<dyn Storage>, KeeperError> {
-    let _ = settings;
-    Ok(Box::new(MemoryStorage::new(Incarnation(rand::random()))))
+    let keeper = KeeperId(settings.keeper_id);
+    let incarnation = Incarnation(rand::random());
+    let identity = DiskIdentity::new(settings.cluster.as_str(), keeper, incarnation);
+    let storage = FileStorage::open(&settings.data_folder, identity, settings.sync_delay_ms)?;
+    Ok(Box::new(storage))
 }
--- a/crates/hemlock_keeper/tests/common/mod.rs
+++ b/crates/hemlock_keeper/tests/common/mod.rs
@@ -221,12 +221,12 @@
     /// Connects to a keeper; `false` when it can't be reached.
     pub fn connect(&mut self, address: SocketAddr) -> bool {
         let identity = Rc::clone(&self.identity);
-        let opening = connect(
-            address,
-            identity,
-            Rc::new(NoService),
-            DurationMs::new(1_000),
-        );
+        let earlier = self.connection.take();
+        let opening = async move {
+            drop(earlier);
+            let timeout = DurationMs::new(1_000);
+            connect(address, identity, Rc::new(NoService), timeout).await
+        };
         self.connection = self.local.block_on(&self.runtime, opening).ok();
         self.connection.is_some()
     }
