--- a/crates/hemlock_entry/src/entry.rs
+++ b/crates/hemlock_entry/src/entry.rs
@@ -102,14 +102,24 @@
         post(&self.inbox, Input::Drain);
     }
 
-    /// The same as [`EntryHandle::begin_drain`]; [`EntryHandle::join`] waits for the end.
+    /// Drains, and waits until every thread has ended.
+    ///
+    /// # Panics
+    ///
+    /// When a thread of the entry has panicked.
     pub fn stop(&self) {
         self.begin_drain();
+        self.join();
     }
 
-    /// Ends the entry at once, without answering what runs; for tests of failures.
+    /// Ends at once, without answering what runs, as a crash would, and joins the threads.
+    ///
+    /// # Panics
+    ///
+    /// When a thread of the entry has panicked.
     pub fn kill(&self) {
         post(&self.inbox, Input::Kill);
+        self.join();
     }
 
     /// Waits until the entry has ended and every thread of it is joined.
@@ -127,3 +137,14 @@
         }
     }
 }
+
+impl Drop for EntryHandle {
+    fn drop(&mut self) {
+        post(&self.inbox, Input::Kill);
+        let mut thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(thread) = thread.take() {
+            // A panic there has been printed; a second one here would hide it.
+            drop(thread.join());
+        }
+    }
+}
--- a/crates/hemlock_entry/src/lib.rs
+++ b/crates/hemlock_entry/src/lib.rs
@@ -13,7 +13,6 @@
 //! let entry = Entry::start(settings)?;
 //! println!("listening on {}", entry.http_address());
 //! entry.stop();
-//! entry.join();
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
