Check the gate against a naive model and its credits under delay

Cause: a lifted stop that had not covered a suspect endpoint made it serve again; the first entry to connect held every credit of every endpoint. Change: a lift only ends a planned stop; a new link gets its part of the credits, rounded at random, so that with more entries than slots each holds credits at some endpoints. Tests: a list searched from end to end decides like the gate; entries with delayed messages end with the gate's books equal to theirs and no slot idle while a task waits; bounds of memory.

--- a/crates/hemlock_gate/src/credit.rs
+++ b/crates/hemlock_gate/src/credit.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use hemlock_types::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use crate::event::LinkId;
 
@@ -54,6 +56,8 @@
     To(LinkId),
     /// Every link in turn.
     Spread,
+    /// A link that has just opened, which also gets its part of what the others hold.
+    Share(LinkId),
 }
 
 /// A rule that deals idle slots to the entries' links.
@@ -139,11 +143,13 @@
     turn: VecDeque<LinkId>,
     reserved: u16,
     promise: DurationMs,
+    random: Pcg64Mcg,
 }
 
 impl DealtCredits {
-    /// A book whose asked-for credits can't be recalled for `promise`.
-    pub fn new(promise: DurationMs) -> Self {
+    /// A book whose asked-for credits can't be recalled for `promise`. The seed decides which
+    /// links hold credits while there are fewer slots than links.
+    pub fn new(promise: DurationMs, seed: u64) -> Self {
         Self {
             accounts: HashMap::new(),
             waiting: VecDeque::new(),
@@ -152,6 +158,7 @@
             turn: VecDeque::new(),
             reserved: 0,
             promise,
+            random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
@@ -304,6 +311,33 @@
         }
     }
 
+    /// Moves spare credits to a new link until it holds its part of the idle slots, rounded up
+    /// or down at random, so that every link is as likely to hold one as any other.
+    fn share(&mut self, now: Instant, idle: u16, link: LinkId, out: &mut Deal) {
+        let links = u16::try_from(self.turn.len()).unwrap_or(u16::MAX).max(1);
+        let rest = idle % links;
+        let part = idle / links + u16::from(self.random.random_range(0..links) < rest);
+        let held = |book: &Self| book.accounts.get(&link).map_or(part, Account::reserved);
+        while held(self) < part {
+            let Some(holder) = self.richest(link) else {
+                return;
+            };
+            self.recall(holder, out);
+            self.grant(now, link, false, out);
+        }
+    }
+
+    /// The link with the most spare credits besides `except`; a random one of them.
+    fn richest(&mut self, except: LinkId) -> Option<LinkId> {
+        let count = self.turn.len();
+        let from = self.random.random_range(0..count.max(1));
+        let spare = |link: &LinkId| self.accounts.get(link).map_or(0, Account::spare);
+        (0..count)
+            .map(|step| self.turn[(from + step) % count])
+            .filter(|link| *link != except && spare(link) > 0)
+            .max_by_key(spare)
+    }
+
     fn drop_account(&mut self, link: LinkId) {
         self.change(link, |account| {
             account.held = 0;
@@ -395,9 +429,12 @@
             Spare::To(link) if free > 0 && self.accounts.get(&link).is_some_and(|a| !a.silent) => {
                 self.grant(now, link, false, out);
             }
-            Spare::Spread if free > 0 => self.spread(now, free, out),
+            Spare::Spread | Spare::Share(_) if free > 0 => self.spread(now, free, out),
             _ => {}
         }
+        if let Spare::Share(link) = spare {
+            self.share(now, idle, link, out);
+        }
         for (link, _) in &out.recalled {
             if let Some(account) = self.accounts.get_mut(link) {
                 account.recalls.push_back(account.granted);
--- a/crates/hemlock_gate/src/gate.rs
+++ b/crates/hemlock_gate/src/gate.rs
@@ -36,7 +36,7 @@
     /// # Errors
     /// A fault in one of the state charts' files.
     pub fn new(config: GateConfig) -> Result<Self, ChartError> {
-        let credits = DealtCredits::new(config.promise);
+        let credits = DealtCredits::new(config.promise, config.agent.0);
         Self::with_credits(config, Box::new(credits))
     }
 
@@ -145,7 +145,7 @@
         if self.phase.is_leaving() {
             out.push(Action::Leaving { link });
         }
-        Spare::Spread
+        Spare::Share(link)
     }
 
     fn close(&mut self, now: Instant, link: LinkId) -> Spare {
@@ -175,10 +175,11 @@
     }
 
     fn lift(&mut self) -> Spare {
+        let lifted = self.chart.next(self.phase, EndpointEvent::Lift).is_some();
         self.step(EndpointEvent::Lift);
         match self.offer.is_some() {
-            true => self.step(EndpointEvent::Announce),
-            false => Spare::Keep,
+            true if lifted => self.step(EndpointEvent::Announce),
+            _ => Spare::Keep,
         }
     }
 
