Measure what a gate costs for each start

Change: an example that prints nanoseconds for each start with its want and end, and for each cancelled start, by number of entries.

--- /dev/null
+++ b/crates/hemlock_gate/examples/gate_cost.rs
@@ -0,0 +1,151 @@
+//! Measures what a gate costs: nanoseconds for each start with its end, and for each
+//! cancelled start of a wave. One JSON line for each number of entries.
+//!
+//! ```text
+//! cargo run --release -p hemlock_gate --example gate_cost
+//! ```
+
+use std::time::Instant as WallInstant;
+
+use bytes::Bytes;
+use hemlock_gate::prelude::*;
+use hemlock_types::prelude::*;
+
+const AGENT: Incarnation = Incarnation(7);
+const SLOTS: u16 = 8;
+const STARTS: u64 = 400_000;
+const WAVE: u64 = 4_000;
+const ENTRIES: [u64; 5] = [1, 4, 16, 64, 256];
+
+fn main() {
+    for entries in ENTRIES {
+        let fast_ns = start_ns(dealt(), entries, false);
+        let claimed_ns = start_ns(dealt(), entries, true);
+        let no_credits_ns = start_ns(Box::new(NoCredits), entries, false);
+        let cancel_ns = cancel_ns(entries);
+        println!(
+            "{{\"entries\":{entries},\"start_ns\":{fast_ns},\"claimed_start_ns\":{claimed_ns},\
+             \"start_without_credits_ns\":{no_credits_ns},\"cancel_ns\":{cancel_ns}}}"
+        );
+    }
+}
+
+fn dealt() -> Box<dyn CreditPolicy> {
+    Box::new(DealtCredits::new(DurationMs::new(25), 1))
+}
+
+fn serving(credits: Box<dyn CreditPolicy>, entries: u64) -> Gate {
+    let config = GateConfig::new(AGENT).with_retention(DurationMs::new(100));
+    let mut gate = Gate::with_credits(config, credits).expect("sound charts");
+    let mut out = Actions::new();
+    let offer = Offer {
+        service: "allocate".into(),
+        slots: SLOTS,
+        connections: SLOTS,
+        address: ([127, 0, 0, 1], 9).into(),
+    };
+    gate.handle(Instant::ZERO, Event::Announced(offer), &mut out);
+    for entry in 0..entries {
+        let (link, entry) = (LinkId(entry), Incarnation(entry));
+        gate.handle(Instant::ZERO, Event::Opened { link, entry }, &mut out);
+    }
+    gate
+}
+
+fn spec(request: u64, claimed: bool) -> TaskSpec {
+    let mut name = [0; 16];
+    name[..8].copy_from_slice(&(request / 8).to_le_bytes());
+    TaskSpec {
+        request: RequestId(request),
+        submission: claimed.then_some(SubmissionId(name)),
+        task: TaskIndex(u16::try_from(request % 8).unwrap_or(0)),
+        epoch: Epoch(1),
+        agent: AGENT,
+        service: "allocate".into(),
+        operation: "hold".into(),
+        deadline_ms: 1_000,
+        traceparent: Bytes::new(),
+        body: Bytes::new(),
+    }
+}
+
+/// A start, a want of the next entry and an end, with seven other tasks running; nanoseconds
+/// for each start.
+fn start_ns(credits: Box<dyn CreditPolicy>, entries: u64, claimed: bool) -> u128 {
+    let mut gate = serving(credits, entries);
+    let mut out = Actions::new();
+    let mut running = std::collections::VecDeque::new();
+    let specs: Vec<_> = (0..STARTS).map(|request| spec(request, claimed)).collect();
+    let began = WallInstant::now();
+    for (number, spec) in specs.into_iter().enumerate() {
+        let now = Instant::from_micros(number as u64 * 10);
+        let number = number as u64;
+        let link = LinkId(number % entries);
+        gate.handle(now, Event::Start { link, spec }, &mut out);
+        let next = Event::Want {
+            link: LinkId((number + 1) % entries),
+            call: CallId(number),
+            count: 1,
+        };
+        gate.handle(now, next, &mut out);
+        take_runs(&mut out, &mut running);
+        if running.len() < usize::from(SLOTS) {
+            continue;
+        }
+        end_oldest(&mut gate, now, &mut running, &mut out);
+        if number.is_multiple_of(10_000) {
+            gate.handle(now, Event::Tick, &mut out);
+        }
+    }
+    let elapsed = began.elapsed().as_nanos();
+    assert_eq!(gate.counters().started, STARTS, "every start is accepted");
+    elapsed / u128::from(STARTS)
+}
+
+fn take_runs(out: &mut Actions, running: &mut std::collections::VecDeque<RunKey>) {
+    for action in out.drain(..) {
+        if let Action::Run { run, .. } = action {
+            running.push_back(run);
+        }
+    }
+}
+
+fn end_oldest(
+    gate: &mut Gate,
+    now: Instant,
+    running: &mut std::collections::VecDeque<RunKey>,
+    out: &mut Actions,
+) {
+    let Some(run) = running.pop_front() else {
+        return;
+    };
+    let outcome = Outcome::Failed(FailureKind::Unknown);
+    let ended = Event::Ended {
+        run,
+        outcome,
+        service_us: 1,
+    };
+    gate.handle(now, ended, out);
+}
+
+/// A wave of cancellations of starts that have not arrived; nanoseconds for each.
+fn cancel_ns(entries: u64) -> u128 {
+    let mut gate = serving(dealt(), entries);
+    let mut out = Actions::new();
+    let requests: Vec<_> = (0..WAVE).map(RequestId).collect();
+    let waves: Vec<_> = (0..entries).map(|_| requests.clone()).collect();
+    let began = WallInstant::now();
+    for (entry, requests) in waves.into_iter().enumerate() {
+        let link = LinkId(entry as u64);
+        let call = CallId(link.0);
+        let cancel = Event::Cancel {
+            link,
+            call,
+            requests,
+        };
+        gate.handle(Instant::ZERO, cancel, &mut out);
+    }
+    let elapsed = began.elapsed().as_nanos();
+    assert_eq!(gate.counters().revoked, WAVE * entries);
+    elapsed / u128::from(WAVE * entries)
+}
