Run keepers' cores under random failures and check the promises

A simulated world drives three cores by messages alone: lost messages, cuts in one or both directions, kills, dying entries, operators who race and resend. Checked: a revision has one winner and a resend gets the first answer, reads never revert, no entry works with an older configuration once a change is reported in force, an epoch has one owner, a finished submission keeps its answer, shares in use stay within the limit.

Cause found on the way: a call refused after its timeout was answered a second time when its command committed. It is now answered once.

--- a/crates/hemlock_keeper/src/core/calls.rs
+++ b/crates/hemlock_keeper/src/core/calls.rs
@@ -34,6 +34,8 @@
     Due(Instant),
     /// It is under way, here or at the leader.
     UnderWay,
+    /// It took too long and was refused, but is still under way.
+    Refused,
 }
 
 impl KeeperCore {
@@ -70,6 +72,9 @@
             KeeperReply::NotLeader { .. } | KeeperReply::Unavailable
         );
         match self.calls.get_mut(&token) {
+            Some(call) if call.step == CallStep::Refused => {
+                self.calls.remove(&token);
+            }
             Some(call) if retry => call.step = CallStep::Due(now + RETRY),
             Some(_) => {
                 self.calls.remove(&token);
@@ -85,19 +90,24 @@
         for (token, call) in self.take_due_calls(now) {
             self.route_call(now, token, call, &mut inputs, out);
         }
-        let overdue: Vec<ReplyToken> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| call.until <= now)
-            .map(|(token, _)| *token)
-            .collect();
-        for token in overdue {
-            self.reply(now, token, operator::no_quorum(), out);
-        }
+        self.refuse_overdue(now, out);
         self.propose_batches(now, &mut inputs, out);
         self.run_quorum(now, inputs, out);
     }
 
+    fn refuse_overdue(&mut self, now: Instant, out: &mut Vec<KeeperAction>) {
+        self.calls.retain(|token, call| {
+            if call.until > now || call.step == CallStep::Refused {
+                return true;
+            }
+            let (token, reply) = (*token, operator::no_quorum());
+            out.push(KeeperAction::Reply { token, reply });
+            let under_way = call.step == CallStep::UnderWay;
+            call.step = CallStep::Refused;
+            under_way
+        });
+    }
+
     fn take_due_calls(&mut self, now: Instant) -> Vec<(ReplyToken, OperatorCall)> {
         let mut due: Vec<_> = self
             .calls
--- a/crates/hemlock_keeper/src/shell/disk.rs
+++ b/crates/hemlock_keeper/src/shell/disk.rs
@@ -14,12 +14,13 @@
     control: &Sender<Input>,
     instance: &str,
 ) {
-    let sync_ms = metrics::histogram!("hemlock_keeper_sync_ms", "instance" => instance.to_owned());
+    let label = instance.to_owned();
+    let sync_s = metrics::histogram!("hemlock_keeper_sync_seconds", "instance" => label);
     while let Ok(first) = work.recv() {
         let waiting = first.into_iter().chain(work.try_iter().flatten());
         let started = Instant::now();
         let done = perform(storage.as_mut(), waiting);
-        sync_ms.record(started.elapsed().as_secs_f64() * 1_000.0);
+        sync_s.record(started.elapsed());
         let input = match done {
             Ok(Some(up_to)) => Input::Synced(up_to),
             Ok(None) => continue,
--- /dev/null
+++ b/crates/hemlock_keeper/tests/simulation/entry.rs
@@ -0,0 +1,163 @@
+//! A simulated entry: it holds a lease and shares, reports demand, and claims submissions.
+
+use std::collections::BTreeMap;
+
+use hemlock_contract::prelude::*;
+use hemlock_ledger::prelude::*;
+use hemlock_quota::prelude::*;
+use hemlock_types::prelude::*;
+use hemlock_wire::message::keeper::{EntrySync, KeeperReply, KeeperRequest};
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+/// How long an entry waits for an answer, in milliseconds.
+const PATIENCE_MS: u64 = 1_500;
+/// Longest wait that an entry asks the keeper for, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+
+/// One entry.
+pub(crate) struct SimEntry {
+    pub(crate) id: Incarnation,
+    pub(crate) keeper: usize,
+    pub(crate) config: Version,
+    pub(crate) lease_until: Instant,
+    pub(crate) shares: BTreeMap<CustomerName, (u32, Instant)>,
+    pub(crate) running: BTreeMap<CustomerName, u32>,
+    shares_seen: u64,
+    report: Option<(u64, Instant)>,
+    pub(crate) claim: Option<(u64, Instant, ClaimRequest)>,
+    next_report: Instant,
+}
+
+impl SimEntry {
+    pub(crate) fn new(id: u64, now: Instant) -> Self {
+        Self {
+            id: Incarnation(id),
+            keeper: 0,
+            config: Version(0),
+            lease_until: now,
+            shares: BTreeMap::new(),
+            running: BTreeMap::new(),
+            shares_seen: 0,
+            report: None,
+            claim: None,
+            next_report: now,
+        }
+    }
+
+    /// The unexpired share of a customer's limit.
+    pub(crate) fn share(&self, now: Instant, customer: &CustomerName) -> u32 {
+        match self.shares.get(customer) {
+            Some((count, until)) if now < *until => *count,
+            _ => 0,
+        }
+    }
+
+    /// Gives up what was not answered in time, and returns a report when one is due.
+    pub(crate) fn poll(
+        &mut self,
+        now: Instant,
+        number: u64,
+        rng: &mut Pcg32,
+    ) -> Option<KeeperRequest> {
+        if let Some((_, sent)) = self.report
+            && now.since(sent).as_ms() >= PATIENCE_MS
+        {
+            self.move_on(now, rng);
+        }
+        if self.report.is_some() || now < self.next_report {
+            return None;
+        }
+        self.report = Some((number, now));
+        Some(KeeperRequest::EntrySync(self.sync(now, rng)))
+    }
+
+    fn sync(&mut self, now: Instant, rng: &mut Pcg32) -> EntrySync {
+        let customers: Vec<CustomerName> = self.shares.keys().cloned().collect();
+        let demand = customers
+            .into_iter()
+            .map(|customer| {
+                let held = self.share(now, &customer);
+                let running = rng.random_range(0..=held);
+                self.running.insert(customer.clone(), running);
+                Demand {
+                    customer,
+                    running,
+                    queued: rng.random_range(0..20),
+                    held,
+                }
+            })
+            .collect();
+        EntrySync {
+            entry: self.id,
+            domain: DomainName::from("harju-1"),
+            config: self.config,
+            directory: (0, 0),
+            demand,
+            shares_seen: self.shares_seen,
+            wait_ms: WAIT_MS,
+            leaving: false,
+        }
+    }
+
+    /// Turns to another keeper.
+    pub(crate) fn move_on(&mut self, now: Instant, rng: &mut Pcg32) {
+        self.report = None;
+        self.keeper = rng.random_range(0..3);
+        self.next_report = now + DurationMs::new(50);
+    }
+
+    /// Takes the answer to request `number`.
+    pub(crate) fn take_sync(
+        &mut self,
+        now: Instant,
+        number: u64,
+        reply: KeeperReply,
+        rng: &mut Pcg32,
+    ) {
+        let sent = match self.report {
+            Some((waiting, sent)) if waiting == number => sent,
+            _ => return,
+        };
+        let KeeperReply::EntrySync {
+            lease_ms,
+            config,
+            shares,
+            shares_seq,
+            ..
+        } = reply
+        else {
+            return self.move_on(now, rng);
+        };
+        self.report = None;
+        self.next_report = now + DurationMs::new(rng.random_range(0..200));
+        self.take_config(&config);
+        self.lease_until = self.lease_until.max(sent + DurationMs::new(lease_ms));
+        if shares_seq > self.shares_seen {
+            self.shares_seen = shares_seq;
+            self.shares = shares
+                .into_iter()
+                .map(|share| {
+                    let until = sent + DurationMs::new(share.valid_ms);
+                    (share.customer, (share.count, until))
+                })
+                .collect();
+        }
+    }
+
+    fn take_config(&mut self, update: &ConfigUpdate) {
+        let next = match update {
+            ConfigUpdate::Current(version) => *version,
+            ConfigUpdate::Delta { from, to, .. } => {
+                assert_eq!(*from, self.config, "a delta starts where the entry stands");
+                *to
+            }
+            ConfigUpdate::Snapshot { version, .. } => *version,
+        };
+        assert!(
+            next >= self.config,
+            "an entry's configuration never reverts"
+        );
+        self.config = next;
+    }
+}
