Run the whole path with one command, and drive a cluster from the shell

Cause: a newcomer had no way to run the main job, and operators no command. The HTTP edge's own refusals claim no outcome: an earlier sending of the same work may have run.

--- /dev/null
+++ b/bins/hemlock/src/commands/endpoints.rs
@@ -0,0 +1,23 @@
+//! `hemlock endpoints`: lists the endpoints that keepers know of.
+
+use crate::commands::read_operator;
+use crate::error::CliError;
+use crate::exit::Exit;
+use crate::output;
+
+const HELP: &str = "\
+hemlock endpoints: lists the endpoints that keepers know of
+
+Usage: hemlock endpoints [OPTIONS]
+
+";
+
+/// Runs the command.
+pub(crate) fn run(parser: lexopt::Parser) -> Result<Exit, CliError> {
+    let Some((operator, format)) = read_operator(parser, HELP)? else {
+        return Ok(Exit::Done);
+    };
+    let mut answer = operator.get("/v1/endpoints")?;
+    output::print(format, &answer["endpoints"].take());
+    Ok(Exit::Done)
+}
--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -248,8 +248,10 @@
 
 /// The whole answer to a refused request.
 pub(crate) fn refusal_bytes(refusal: Refusal) -> Vec<u8> {
-    let mut response = HttpResponse::error(refusal.status(), refusal.code(), refusal.advice())
-        .with_header("Hemlock-Outcome", "not-run");
+    // It claims no outcome: an earlier sending of the same work may have run.
+    let message = format!("nothing ran for this request; {}", refusal.advice());
+    let mut response = HttpResponse::error(refusal.status(), refusal.code(), &message)
+        .with_header("Hemlock-Reason", refusal.code());
     if refusal == Refusal::Busy {
         response = response.with_header("Retry-After", "1");
     }
