--- a/crates/hemlock_entry/src/control.rs
+++ b/crates/hemlock_entry/src/control.rs
@@ -253,7 +253,9 @@
                 self.counters.message("fence");
                 self.command(agent, LaneCommand::Fence(agent, submission, epoch));
             }
-            Action::Claim(claim) => self.session.send(SessionCommand::Claim(claim)),
+            Action::Claim { attempt, claim } => {
+                self.session.send(SessionCommand::Claim(attempt, claim));
+            }
             Action::End(end) => self.session.send(SessionCommand::End(end)),
             Action::Lookup { call, submission } => {
                 self.session.send(SessionCommand::Lookup(call, submission));
--- a/crates/hemlock_entry/src/session/batches.rs
+++ b/crates/hemlock_entry/src/session/batches.rs
@@ -51,23 +51,32 @@
     }
 }
 
-async fn send_claims(shared: &Shared, claims: Vec<ClaimRequest>) {
-    let submissions: Vec<SubmissionId> = claims.iter().map(|claim| claim.submission).collect();
+async fn send_claims(shared: &Shared, claims: Vec<(ClaimAttempt, ClaimRequest)>) {
+    let named = |(attempt, claim): &(ClaimAttempt, ClaimRequest)| (claim.submission, *attempt);
+    let names: Vec<(SubmissionId, ClaimAttempt)> = claims.iter().map(named).collect();
+    let claims = claims.into_iter().map(|(_, claim)| claim).collect();
     let request = KeeperRequest::Claims(claims);
     let patience = Duration::from_millis(CLAIM_TIMEOUT_MS);
     let replies = match shared.call(&request, patience).await {
-        Some(KeeperReply::Claims(replies)) if replies.len() == submissions.len() => replies,
+        Some(KeeperReply::Claims(replies)) if replies.len() == names.len() => replies,
         _ => {
-            for submission in submissions {
-                let reply = None;
-                post_event(&shared.inbox, Event::ClaimAnswered { submission, reply });
+            for name in names {
+                post_event(&shared.inbox, claim_event(name, None));
             }
             return;
         }
     };
-    for (submission, reply) in submissions.into_iter().zip(replies) {
-        let reply = Some(reply);
-        post_event(&shared.inbox, Event::ClaimAnswered { submission, reply });
+    for (name, reply) in names.into_iter().zip(replies) {
+        post_event(&shared.inbox, claim_event(name, Some(reply)));
+    }
+}
+
+fn claim_event(name: (SubmissionId, ClaimAttempt), reply: Option<ClaimReply>) -> Event {
+    let (submission, attempt) = name;
+    Event::ClaimAnswered {
+        submission,
+        attempt,
+        reply,
     }
 }
 
--- a/crates/hemlock_entry/src/session/client.rs
+++ b/crates/hemlock_entry/src/session/client.rs
@@ -36,7 +36,7 @@
     /// The connection in use does not lead to the leader, or is silent: use another.
     pub(super) change_keeper: Notify,
     /// Claims that are not sent yet.
-    pub(super) claims: RefCell<VecDeque<ClaimRequest>>,
+    pub(super) claims: RefCell<VecDeque<(ClaimAttempt, ClaimRequest)>>,
     /// There is a claim to send.
     pub(super) claims_waiting: Notify,
     /// Ends that are not recorded yet.
@@ -141,8 +141,8 @@
     fn take(&self, command: SessionCommand) {
         let shared = &self.shared;
         match command {
-            SessionCommand::Claim(claim) => {
-                shared.claims.borrow_mut().push_back(claim);
+            SessionCommand::Claim(attempt, claim) => {
+                shared.claims.borrow_mut().push_back((attempt, claim));
                 shared.claims_waiting.notify_one();
             }
             SessionCommand::End(end) => {
--- a/crates/hemlock_entry/src/session/mod.rs
+++ b/crates/hemlock_entry/src/session/mod.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(crate) enum SessionCommand {
     /// Claim a submission.
-    Claim(ClaimRequest),
+    Claim(ClaimAttempt, ClaimRequest),
     /// Report a submission's end.
     End(EndRecord),
     /// Look a submission up for a call.
--- a/crates/hemlock_router/src/action.rs
+++ b/crates/hemlock_router/src/action.rs
@@ -6,7 +6,7 @@
 use hemlock_ledger::prelude::*;
 use hemlock_types::prelude::*;
 
-use crate::event::CallId;
+use crate::event::{CallId, ClaimAttempt};
 
 /// A caller's mistake; nothing ran for the call.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
@@ -177,7 +177,12 @@
         epoch: Epoch,
     },
     /// Claim a submission.
-    Claim(ClaimRequest),
+    Claim {
+        /// Names the claim in its answer.
+        attempt: ClaimAttempt,
+        /// The claim.
+        claim: ClaimRequest,
+    },
     /// Report a submission's end.
     End(EndRecord),
     /// Look a submission up in the ledger.
--- a/crates/hemlock_router/src/event.rs
+++ b/crates/hemlock_router/src/event.rs
@@ -11,6 +11,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
 
+/// Names one claim; an answer that comes late never counts for a later claim.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ClaimAttempt(pub u64);
+
 /// One task of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskRequest {
@@ -98,6 +102,8 @@
     ClaimAnswered {
         /// The submission.
         submission: SubmissionId,
+        /// The claim that this answers.
+        attempt: ClaimAttempt,
         /// The answer.
         reply: Option<ClaimReply>,
     },
--- a/crates/hemlock_router/src/lib.rs
+++ b/crates/hemlock_router/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod prelude {
     pub use crate::action::{Action, Actions, CallResult, CallerFault, Observation, WasteCause};
     pub use crate::admission::{Admission, BoundedQueues, DeadlineAware};
-    pub use crate::event::{CallId, Event, Loss, Submit, SyncNews, TaskRequest};
+    pub use crate::event::{CallId, ClaimAttempt, Event, Loss, Submit, SyncNews, TaskRequest};
     pub use crate::placement::{
         DEFAULT_POLICY, POLICIES, Placement, UnknownPolicy, check_policy, placement_named,
     };
--- a/crates/hemlock_router/src/router/claim.rs
+++ b/crates/hemlock_router/src/router/claim.rs
@@ -7,6 +7,7 @@
 use super::Router;
 use super::callers::RETRY_AFTER_FAULT_MS;
 use crate::action::{Action, Actions, CallResult, CallerFault, Observation};
+use crate::event::ClaimAttempt;
 use crate::fleet::EndpointKey;
 use crate::placement::plan_agents;
 use crate::submission::Phase;
@@ -38,15 +39,18 @@
         let Some(submission) = &mut work.submission else {
             return;
         };
-        submission.begin_claim(now, plan);
-        out.push(Action::Claim(ClaimRequest {
+        self.claims += 1;
+        let attempt = ClaimAttempt(self.claims);
+        submission.begin_claim(now, attempt, plan);
+        let claim = ClaimRequest {
             submission: submission.id,
             digest: submission.digest,
             entry: self.settings.entry,
             tasks,
             plan: plan_agents(submission.plan(), &self.fleet),
             deadline_ms: deadline.since(now).as_ms(),
-        }));
+        };
+        out.push(Action::Claim { attempt, claim });
     }
 
     /// The endpoints that a claim may name: every usable one, or a random part of a large
@@ -75,16 +79,21 @@
         &mut self,
         now: Instant,
         id: SubmissionId,
+        attempt: ClaimAttempt,
         reply: Option<ClaimReply>,
         out: &mut Actions,
     ) {
         let key = self.submissions.get(&id).copied();
-        let claiming = |work: &Work| {
+        let awaits = |work: &Work| {
             let submission = work.submission.as_ref();
-            submission.is_some_and(|submission| submission.phase() == Phase::Claiming)
+            submission.is_some_and(|submission| submission.awaits(attempt))
         };
-        match key.filter(|key| self.works.get(*key).is_some_and(claiming)) {
-            Some(key) => self.claim_settled(now, key, reply, out),
+        match key {
+            Some(key) if self.works.get(key).is_some_and(awaits) => {
+                self.claim_settled(now, key, reply, out);
+            }
+            // The claim that is out now was made later and supersedes this one.
+            Some(_) => {}
             None => Self::release_stray_claim(id, reply, out),
         }
     }
--- a/crates/hemlock_router/src/router/finish.rs
+++ b/crates/hemlock_router/src/router/finish.rs
@@ -30,7 +30,7 @@
             !matches!(task.state, TaskState::Ended(_)),
             "a task ends once"
         );
-        let was_waiting = matches!(task.state, TaskState::Held | TaskState::Queued);
+        let was_waiting = task.state.is_waiting();
         let decided = match &outcome {
             Outcome::Complete(_) => None,
             Outcome::Failed(kind) => Some(Err(*kind)),
@@ -126,8 +126,11 @@
     }
 
     fn release_waiting(&mut self, work: &Work) {
-        let waits = |task: &&Task| matches!(task.state, TaskState::Held | TaskState::Queued);
-        let waiting = work.tasks.iter().filter(waits).count();
+        let waiting = work
+            .tasks
+            .iter()
+            .filter(|task| task.state.is_waiting())
+            .count();
         self.contracts.state_mut(work.contract).queued -= waiting as u32;
         self.queued -= waiting as u64;
         self.dirty.insert(work.service);
--- a/crates/hemlock_router/src/router/mod.rs
+++ b/crates/hemlock_router/src/router/mod.rs
@@ -80,6 +80,7 @@
     lease_until: Instant,
     draining: bool,
     queued: u64,
+    claims: u64,
 }
 
 impl Router {
@@ -105,6 +106,7 @@
             lease_until: Instant::ZERO,
             draining: false,
             queued: 0,
+            claims: 0,
         }
     }
 
@@ -130,9 +132,11 @@
                 self.cancel_submission(call, submission, out);
             }
             Event::Synced(news) => self.synced(*news, out),
-            Event::ClaimAnswered { submission, reply } => {
-                self.claim_answered(now, submission, reply, out);
-            }
+            Event::ClaimAnswered {
+                submission,
+                attempt,
+                reply,
+            } => self.claim_answered(now, submission, attempt, reply, out),
             Event::LookupAnswered { call, reply } => self.lookup_answered(call, reply, out),
             Event::CancelRecorded { call, reply } => self.cancel_recorded(call, reply, out),
             Event::LinkUp(agent) => self.link_up(now, agent, out),
--- a/crates/hemlock_router/src/submission.rs
+++ b/crates/hemlock_router/src/submission.rs
@@ -5,6 +5,7 @@
 
 use hemlock_types::prelude::*;
 
+use crate::event::ClaimAttempt;
 use crate::fleet::EndpointKey;
 
 /// Where a submission stands.
@@ -48,6 +49,7 @@
     fenced: Vec<FencedAgent>,
     bound: Vec<Option<EndpointKey>>,
     asked_at: Instant,
+    attempt: ClaimAttempt,
     failed_claims: u32,
 }
 
@@ -63,6 +65,7 @@
             fenced: Vec::new(),
             bound: vec![None; tasks],
             asked_at: now,
+            attempt: ClaimAttempt::default(),
             failed_claims: 0,
         }
     }
@@ -87,6 +90,11 @@
         self.asked_at
     }
 
+    /// Whether an answer to the given claim is waited for.
+    pub fn awaits(&self, attempt: ClaimAttempt) -> bool {
+        self.phase == Phase::Claiming && self.attempt == attempt
+    }
+
     /// Claims that failed in a row.
     pub fn failed_claims(&self) -> u32 {
         self.failed_claims
@@ -102,7 +110,7 @@
     /// # Panics
     ///
     /// When a claim was granted before: the plan of a granted claim doesn't change.
-    pub fn begin_claim(&mut self, now: Instant, mut plan: Vec<EndpointKey>) {
+    pub fn begin_claim(&mut self, now: Instant, attempt: ClaimAttempt, mut plan: Vec<EndpointKey>) {
         assert!(
             matches!(self.phase, Phase::Claiming | Phase::Waiting),
             "a granted claim is not asked for again"
@@ -111,6 +119,7 @@
         self.plan = plan;
         self.phase = Phase::Claiming;
         self.asked_at = now;
+        self.attempt = attempt;
     }
 
     /// Another entry runs it, or the ledger couldn't be asked.
--- a/crates/hemlock_router/src/work.rs
+++ b/crates/hemlock_router/src/work.rs
@@ -42,6 +42,13 @@
     Ended(Outcome),
 }
 
+impl TaskState {
+    /// Whether no start of this entry has been sent, so that it counts as queued.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self, Self::Held | Self::Queued | Self::RunningElsewhere)
+    }
+}
+
 /// One task of admitted work.
 #[derive(Clone, Debug)]
 pub struct Task {
--- /dev/null
+++ b/crates/hemlock_router/tests/queue.rs
@@ -0,0 +1,266 @@
+//! The fair queue against a naive one that looks at everything each time.
+
+use hemlock_contract::prelude::Urgency;
+use hemlock_router::arena::Arena;
+use hemlock_router::contracts::ContractKey;
+use hemlock_router::queue::{FairQueue, Head, LevelIndex};
+use hemlock_router::work::{TaskRef, WorkKey};
+use hemlock_types::prelude::*;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+const LEVEL_WEIGHTS: [u64; 3] = [64, 8, 1];
+const PASS_SCALE: u64 = 64;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push { contract: u8, urgency: u8 },
+    Serve { cost_us: u16 },
+    Drop,
+    Park,
+    Unpark { contract: u8, urgency: u8 },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let contract = u8::arbitrary(g) % 4;
+        let urgency = u8::arbitrary(g) % 3;
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Self::Push { contract, urgency },
+            4 | 5 => Self::Serve {
+                cost_us: u16::arbitrary(g),
+            },
+            6 if bool::arbitrary(g) => Self::Park,
+            6 => Self::Drop,
+            _ => Self::Unpark { contract, urgency },
+        }
+    }
+}
+
+#[derive(Default)]
+struct NaiveLine {
+    tasks: Vec<TaskRef>,
+    pass: u64,
+    parked: bool,
+}
+
+#[derive(Default)]
+struct NaiveQueue {
+    lines: [[NaiveLine; 4]; 3],
+    floors: [u64; 3],
+    passes: [u64; 3],
+    floor: u64,
+}
+
+impl NaiveQueue {
+    fn push(&mut self, level: usize, contract: usize, task: TaskRef) {
+        if self.lines[level].iter().all(|line| line.tasks.is_empty()) {
+            self.passes[level] = self.passes[level].max(self.floor);
+        }
+        let line = &mut self.lines[level][contract];
+        if line.tasks.is_empty() {
+            line.pass = line.pass.max(self.floors[level]);
+        }
+        line.tasks.push(task);
+    }
+
+    fn head(&self) -> Option<(usize, usize)> {
+        let ready = |line: &NaiveLine| !line.parked && !line.tasks.is_empty();
+        let level = (0..3)
+            .filter(|level| self.lines[*level].iter().any(ready))
+            .min_by_key(|level| self.passes[*level])?;
+        let contract = (0..4)
+            .filter(|contract| ready(&self.lines[level][*contract]))
+            .min_by_key(|contract| (self.lines[level][*contract].pass, *contract))?;
+        Some((level, contract))
+    }
+
+    fn serve(&mut self, (level, contract): (usize, usize), cost_us: u64, weight: u64) -> TaskRef {
+        let line = &mut self.lines[level][contract];
+        let task = line.tasks.remove(0);
+        if cost_us > 0 {
+            self.floors[level] = line.pass;
+            line.pass += cost_us * PASS_SCALE / weight + 1;
+            self.floor = self.passes[level];
+            self.passes[level] += cost_us * PASS_SCALE / LEVEL_WEIGHTS[level] + 1;
+        }
+        task
+    }
+}
+
+fn urgency(index: usize) -> LevelIndex {
+    let urgencies = [Urgency::Interactive, Urgency::Normal, Urgency::Batch];
+    urgencies[index].into()
+}
+
+fn weight(contract: usize) -> u32 {
+    [1, 10, 100, 300][contract]
+}
+
+/// Keys of contracts and works, made without the tables that hold them.
+struct Keys {
+    contracts: Vec<ContractKey>,
+    works: Arena<hemlock_router::work::Work>,
+}
+
+fn contract_keys() -> Vec<ContractKey> {
+    let mut table = hemlock_router::contracts::ContractTable::default();
+    let contracts = (0..4).map(support::contract).collect();
+    table.update(&hemlock_contract::prelude::ConfigUpdate::Snapshot {
+        version: Version(1),
+        contracts,
+        stops: Vec::new(),
+    });
+    table.iter().map(|(key, _)| key).collect()
+}
+
+fn work_key(works: &mut Arena<hemlock_router::work::Work>, contract: ContractKey) -> WorkKey {
+    works.insert(support::work(contract))
+}
+
+fn agree(steps: Vec<Step>) -> bool {
+    let mut keys = Keys {
+        contracts: contract_keys(),
+        works: Arena::default(),
+    };
+    let mut queue = FairQueue::default();
+    let mut naive = NaiveQueue::default();
+    for step in steps {
+        let head: Option<Head> = queue.head();
+        let expected = naive.head();
+        let place = head.map(|head| {
+            let level = (0..3).find(|level| urgency(*level) == head.level);
+            let contract = keys.contracts.iter().position(|key| *key == head.contract);
+            (level.expect("a level"), contract.expect("a contract"))
+        });
+        assert_eq!(place, expected);
+        match step {
+            Step::Push {
+                contract,
+                urgency: level,
+            } => {
+                let (contract, level) = (usize::from(contract), usize::from(level));
+                let work = work_key(&mut keys.works, keys.contracts[contract]);
+                let task = TaskRef {
+                    work,
+                    task: TaskIndex(0),
+                };
+                queue.push_back(urgency(level), keys.contracts[contract], task);
+                naive.push(level, contract, task);
+            }
+            Step::Serve { cost_us } => {
+                if let (Some(head), Some(place)) = (head, expected) {
+                    let cost_us = u64::from(cost_us).max(1);
+                    queue.serve_head(head, cost_us, weight(place.1));
+                    let task = naive.serve(place, cost_us, u64::from(weight(place.1)));
+                    assert_eq!(task, head.task);
+                }
+            }
+            Step::Drop => {
+                if let (Some(head), Some(place)) = (head, expected) {
+                    queue.drop_head(head);
+                    naive.serve(place, 0, 1);
+                }
+            }
+            Step::Park => {
+                if let (Some(head), Some(place)) = (head, expected) {
+                    queue.park(head.level, head.contract);
+                    naive.lines[place.0][place.1].parked = true;
+                }
+            }
+            Step::Unpark {
+                contract,
+                urgency: level,
+            } => {
+                let (contract, level) = (usize::from(contract), usize::from(level));
+                queue.unpark(urgency(level), keys.contracts[contract]);
+                let line = &mut naive.lines[level][contract];
+                if line.parked || line.pass > 0 || !line.tasks.is_empty() {
+                    line.parked = false;
+                    line.pass = line.pass.max(naive.floors[level]);
+                }
+            }
+        }
+        let waiting = naive.lines.iter().flatten().map(|line| line.tasks.len());
+        assert_eq!(queue.len(), waiting.sum::<usize>());
+    }
+    true
+}
+
+quickcheck! {
+    fn the_fair_queue_serves_in_the_naive_order(steps: Vec<Step>) -> bool {
+        agree(steps)
+    }
+}
+
+/// Serves a backlogged queue and counts how often each contract came.
+#[test]
+fn contracts_of_one_urgency_are_served_by_weight() {
+    let keys = contract_keys();
+    let mut works = Arena::default();
+    let mut queue = FairQueue::default();
+    for contract in &keys {
+        for _ in 0..1_000 {
+            let work = work_key(&mut works, *contract);
+            let task = TaskRef {
+                work,
+                task: TaskIndex(0),
+            };
+            queue.push_back(urgency(0), *contract, task);
+        }
+    }
+    let mut served = [0u32; 4];
+    for _ in 0..822 {
+        let head = queue.head().expect("a backlog");
+        let contract = keys.iter().position(|key| *key == head.contract);
+        let contract = contract.expect("a contract");
+        served[contract] += 1;
+        queue.serve_head(head, 1_000, weight(contract));
+    }
+    assert_eq!(served.iter().sum::<u32>(), 822);
+    assert!(served[0] <= 4 && served[1].abs_diff(20) <= 2, "{served:?}");
+    assert!(
+        served[2].abs_diff(200) <= 4 && served[3].abs_diff(600) <= 6,
+        "{served:?}"
+    );
+}
+
+mod support {
+    use super::*;
+    use hemlock_contract::prelude::*;
+    use hemlock_router::queue::ServiceKey;
+    use hemlock_router::work::Work;
+
+    pub(crate) fn contract(index: usize) -> Contract {
+        Contract {
+            customer: format!("customer-{index}").as_str().into(),
+            revision: Revision(1),
+            key_sha256: Vec::new(),
+            services: Vec::new(),
+            max_running: 1,
+            max_queued: 1,
+            urgency: Urgency::Normal,
+            weight: weight(index),
+            non_idempotent: Vec::new(),
+            deadline_ms: 1,
+            deadline_cap_ms: 1,
+            retry_budget_percent: 0,
+            hedging: Hedging::default(),
+        }
+    }
+
+    pub(crate) fn work(contract: ContractKey) -> Work {
+        Work {
+            waiters: Vec::new(),
+            contract,
+            service: ServiceKey(0),
+            level: Urgency::Normal.into(),
+            submission: None,
+            tasks: Vec::new(),
+            open_tasks: 0,
+            admitted: Instant::ZERO,
+            deadline: Instant::ZERO,
+            traceparent: bytes::Bytes::new(),
+            racks: Vec::new(),
+        }
+    }
+}
