Forget submissions within the simulated runs

The ledger's retention is a minute there, so that runs also check that a submission is opened again only after it.

--- a/crates/hemlock_keeper/tests/simulation/world.rs
+++ b/crates/hemlock_keeper/tests/simulation/world.rs
@@ -17,6 +17,8 @@
 const ENTRIES: usize = 3;
 /// Messages between keepers that are lost, of a hundred.
 const LOSS_PERCENT: u32 = 2;
+/// How long the ledger remembers a submission, in milliseconds.
+const RETENTION_MS: u64 = 60_000;
 /// Largest running limit that operators set, and so the largest sum of shares ever.
 const LARGEST_LIMIT: u64 = 29;
 
@@ -26,9 +28,10 @@
     pub(crate) accepted: usize,
     pub(crate) refused: u64,
     pub(crate) in_force: u64,
-    pub(crate) granted: usize,
+    pub(crate) granted: u64,
     pub(crate) adopted: u64,
     pub(crate) ended: usize,
+    pub(crate) forgotten: u64,
     pub(crate) elections: u64,
     pub(crate) kills: u64,
     pub(crate) cuts: u64,
@@ -76,6 +79,7 @@
     requests: HashMap<u64, Incarnation>,
     owners: HashMap<(SubmissionId, Epoch), Incarnation>,
     ends: HashMap<SubmissionId, EndRecord>,
+    granted_at: HashMap<SubmissionId, Instant>,
     next: u64,
     report: Report,
 }
@@ -93,6 +97,7 @@
             requests: HashMap::new(),
             owners: HashMap::new(),
             ends: HashMap::new(),
+            granted_at: HashMap::new(),
             next: 0,
             report: Report::default(),
         };
@@ -148,7 +153,9 @@
                 let founders = (1..=KEEPERS as u64).map(KeeperId).collect();
                 let config =
                     QuorumConfig::new(me, recovered.incarnation, founders).with_snapshots(200, 50);
-                let limits = LedgerLimits::default().with_max_records(50);
+                let limits = LedgerLimits::default()
+                    .with_max_records(50)
+                    .with_retention_ms(RETENTION_MS);
                 let addresses = BTreeMap::new();
                 let core = KeeperCore::new(config, limits, seed, recovered, addresses);
                 keeper.core = Some(core.expect("the disk fits"));
@@ -456,6 +463,8 @@
         };
         match &replies[0] {
             ClaimReply::Granted { epoch, previous } => {
+                self.forget_if_over(request.submission);
+                self.granted_at.insert(request.submission, self.now);
                 let owner = *self
                     .owners
                     .entry((request.submission, *epoch))
@@ -465,6 +474,7 @@
                     !self.ends.contains_key(&request.submission),
                     "a finished submission is not opened again"
                 );
+                self.report.granted += 1;
                 self.report.adopted += u64::from(previous.is_some());
                 self.end_claim(index, &request, *epoch);
             }
@@ -477,6 +487,16 @@
         }
     }
 
+    /// Drops what is known of a submission whose retention is over, so that it may run again.
+    fn forget_if_over(&mut self, submission: SubmissionId) {
+        let granted_at = self.granted_at.get(&submission);
+        if granted_at.is_some_and(|at| self.now.since(*at).as_ms() >= RETENTION_MS) {
+            self.owners.retain(|(id, _), _| *id != submission);
+            self.ends.remove(&submission);
+            self.report.forgotten += 1;
+        }
+    }
+
     /// Reports some ends, so that others stay for adoption.
     fn end_claim(&mut self, index: usize, request: &ClaimRequest, epoch: Epoch) {
         if self.rng.random_range(0..3) != 0 {
@@ -511,7 +531,7 @@
     pub(crate) fn finish(mut self) -> Report {
         self.report.accepted = self.operators.accepted.len();
         self.report.refused = self.operators.refused;
-        self.report.granted = self.owners.len();
+
         self.report.ended = self.ends.len();
         self.report.simulated_s = self.now.as_micros() / 1_000_000;
         self.report
