--- /dev/null
+++ b/crates/hemlock_contract/tests/config_state.rs
@@ -0,0 +1,271 @@
+//! The configuration against a naive model, and processes that follow it by deltas.
+
+use std::collections::BTreeMap;
+
+use hemlock_contract::prelude::*;
+use hemlock_types::prelude::*;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Contract {
+        customer: u8,
+        revision: u8,
+        running: u8,
+        key: u8,
+    },
+    Stop {
+        id: u8,
+        target: u8,
+    },
+    Lift {
+        id: u8,
+    },
+    Follow,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 10 {
+            0..=4 => Self::Contract {
+                customer: u8::arbitrary(g) % 3,
+                revision: u8::arbitrary(g) % 12 + 1,
+                running: u8::arbitrary(g) % 2 + 1,
+                key: u8::arbitrary(g) % 12,
+            },
+            5 | 6 => Self::Stop {
+                id: u8::arbitrary(g) % 5,
+                target: u8::arbitrary(g) % 2,
+            },
+            7 => Self::Lift {
+                id: u8::arbitrary(g) % 5,
+            },
+            _ => Self::Follow,
+        }
+    }
+}
+
+fn contract(customer: u8, revision: u8, running: u8, key: u8) -> Contract {
+    // Most keys belong to one customer; key 0 is tried by all of them.
+    let key = if key == 0 { 0 } else { customer + 1 };
+    let key = Digest::of_key(&[key]);
+    let text = format!(
+        "customer: c{customer}\nrevision: {revision}\nkey_sha256: [{key}]\n\
+         services: [s]\nmax_running: {running}\nmax_queued: 1\n"
+    );
+    parse_yaml(&text).expect("the contract is good")
+}
+
+fn stop(id: u8, target: u8) -> PlannedStop {
+    PlannedStop {
+        id: StopId(format!("s{id}")),
+        target: StopTarget::Endpoint(Incarnation(target.into())),
+    }
+}
+
+/// Everything ever accepted, searched from end to end.
+#[derive(Default)]
+struct Model {
+    accepted: Vec<(Contract, Version)>,
+    stops: Vec<(PlannedStop, Version)>,
+    lifted: Vec<StopId>,
+}
+
+impl Model {
+    fn current(&self) -> BTreeMap<CustomerName, Contract> {
+        let in_order = self.accepted.iter().map(|(contract, _)| contract.clone());
+        in_order
+            .map(|contract| (contract.customer.clone(), contract))
+            .collect()
+    }
+
+    fn judge(&self, contract: &Contract, version: Version) -> ContractVerdict {
+        let own = |known: &&(Contract, Version)| known.0.customer == contract.customer;
+        if let Some((_, first)) = self.accepted.iter().find(|known| known.0 == *contract) {
+            return ContractVerdict::Repeated { version: *first };
+        }
+        let last = self.accepted.iter().rfind(own).map(|(last, _)| last);
+        match last {
+            Some(last) if last.revision == contract.revision => {
+                let winner = Box::new(last.clone());
+                return ContractVerdict::Conflict { winner };
+            }
+            Some(last) if last.revision > contract.revision => {
+                return ContractVerdict::Stale {
+                    current: last.revision,
+                };
+            }
+            _ => {}
+        }
+        let current = self.current();
+        let holder = current.values().find(|held| {
+            held.customer != contract.customer && held.key_sha256 == contract.key_sha256
+        });
+        match holder {
+            Some(held) => ContractVerdict::KeyTaken {
+                customer: held.customer.clone(),
+            },
+            None => ContractVerdict::Accepted { version },
+        }
+    }
+
+    fn apply(&mut self, contract: Contract, version: Version) -> ContractVerdict {
+        let verdict = self.judge(&contract, version);
+        if matches!(verdict, ContractVerdict::Accepted { .. }) {
+            self.accepted.push((contract, version));
+        }
+        verdict
+    }
+
+    fn stop(&mut self, stop: PlannedStop, version: Version) -> StopVerdict {
+        if self.lifted.contains(&stop.id) {
+            return StopVerdict::AlreadyLifted;
+        }
+        let known = self.stops.iter().find(|(known, _)| known.id == stop.id);
+        match known.cloned() {
+            Some((known, first)) if known == stop => StopVerdict::Repeated { version: first },
+            Some((winner, _)) => StopVerdict::Conflict { winner },
+            None => {
+                self.stops.push((stop, version));
+                StopVerdict::Accepted { version }
+            }
+        }
+    }
+
+    fn lift(&mut self, id: &StopId, version: Version) -> LiftVerdict {
+        let before = self.stops.len();
+        self.stops.retain(|(stop, _)| stop.id != *id);
+        match self.stops.len() < before {
+            true => {
+                self.lifted.push(id.clone());
+                LiftVerdict::Lifted { version }
+            }
+            false if self.lifted.contains(id) => LiftVerdict::Repeated,
+            false => LiftVerdict::Unknown,
+        }
+    }
+}
+
+/// A process that follows the configuration by updates.
+#[derive(Default)]
+struct Follower {
+    version: Version,
+    contracts: BTreeMap<CustomerName, Contract>,
+    stops: BTreeMap<StopId, PlannedStop>,
+}
+
+impl Follower {
+    fn take(&mut self, update: ConfigUpdate) {
+        match update {
+            ConfigUpdate::Current(version) => assert_eq!(version, self.version),
+            ConfigUpdate::Delta { from, to, changes } => {
+                assert_eq!(from, self.version);
+                changes.into_iter().for_each(|change| self.change(change));
+                self.version = to;
+            }
+            ConfigUpdate::Snapshot {
+                version,
+                contracts,
+                stops,
+            } => {
+                self.version = version;
+                let keyed = contracts.into_iter().map(|c| (c.customer.clone(), c));
+                self.contracts = keyed.collect();
+                self.stops = stops.into_iter().map(|s| (s.id.clone(), s)).collect();
+            }
+        }
+    }
+
+    fn change(&mut self, change: ConfigChange) {
+        assert!(change.version > self.version, "changes come in order");
+        match change.item {
+            ConfigItem::Contract(contract) => {
+                self.contracts.insert(contract.customer.clone(), contract);
+            }
+            ConfigItem::Stop(stop) => {
+                self.stops.insert(stop.id.clone(), stop);
+            }
+            ConfigItem::StopLifted(id) => {
+                self.stops.remove(&id);
+            }
+        }
+    }
+}
+
+fn run(steps: &[Step]) -> bool {
+    let mut state = ConfigState::default();
+    let mut model = Model::default();
+    let mut follower = Follower::default();
+    for (index, step) in steps.iter().enumerate() {
+        let version = Version(index as u64 + 1);
+        let same = match step {
+            Step::Contract {
+                customer,
+                revision,
+                running,
+                key,
+            } => {
+                let contract = contract(*customer, *revision, *running, *key);
+                state.apply_contract(version, contract.clone()) == model.apply(contract, version)
+            }
+            Step::Stop { id, target } => {
+                let stop = stop(*id, *target);
+                state.apply_stop(version, stop.clone()) == model.stop(stop, version)
+            }
+            Step::Lift { id } => {
+                let id = StopId(format!("s{id}"));
+                state.lift_stop(version, &id) == model.lift(&id, version)
+            }
+            Step::Follow => {
+                follower.take(state.update_since(follower.version));
+                let stops: Vec<_> = model.stops.iter().map(|(stop, _)| &stop.id).collect();
+                follower.contracts == model.current()
+                    && follower.stops.len() == stops.len()
+                    && stops.iter().all(|id| follower.stops.contains_key(id))
+            }
+        };
+        if !same {
+            return false;
+        }
+    }
+    state.contracts().cloned().eq(model.current().into_values())
+}
+
+#[test]
+fn agrees_with_the_naive_model() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the test library hands values over"
+    )]
+    fn property(steps: Vec<Step>) -> bool {
+        run(&steps)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(150, 11))
+        .tests(1_000)
+        .quickcheck(property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_process_that_is_thousands_of_changes_behind_catches_up() {
+    let mut state = ConfigState::default();
+    let mut follower = Follower::default();
+    for change in 1..=5_000_u64 {
+        let mut next = contract((change % 3) as u8, 1, 1, 1);
+        next.revision = Revision(change);
+        let verdict = state.apply_contract(Version(change * 2), next);
+        assert!(matches!(verdict, ContractVerdict::Accepted { .. }));
+        if change % 700 == 3 || change == 5_000 {
+            follower.take(state.update_since(follower.version));
+            assert_eq!(follower.version, Version(change * 2));
+        }
+    }
+    assert!(follower.contracts.values().eq(state.contracts()));
+    // A process that has seen none of it, or more than there is, gets the whole.
+    for version in [Version(0), Version(6), Version(1_000_000)] {
+        assert!(matches!(
+            state.update_since(version),
+            ConfigUpdate::Snapshot { .. }
+        ));
+    }
+}
