Let a keeper campaign that an uncommitted change takes out

Cause: a leader that was taken out of the set by a change that only it held, with one other disk lost, had the longest log and didn't campaign; the others could not win against it. Change: a keeper campaigns while it is a voter of the present or of the committed set. Tests of one core check what it must not say before its disk has spoken.

--- a/crates/hemlock_quorum/src/quorum/election.rs
+++ b/crates/hemlock_quorum/src/quorum/election.rs
@@ -28,7 +28,7 @@
 
     fn start_pre_vote(&mut self) {
         self.role = RoleState::Follower;
-        if !self.is_voter() {
+        if !self.may_campaign() {
             return;
         }
         let mut ballot = Ballot::default();
@@ -38,8 +38,15 @@
         self.count_votes();
     }
 
+    /// Whether this keeper votes, or did before a change that is not known to be committed. In the
+    /// latter case its log may be the only one that can win, though its own vote doesn't count.
+    fn may_campaign(&self) -> bool {
+        let committed = self.log.members_at(self.commit);
+        self.is_voter() || committed.is_voter(self.config.me, self.config.incarnation)
+    }
+
     fn start_campaign(&mut self, transfer: bool) {
-        assert!(self.is_voter(), "only voters campaign");
+        assert!(self.may_campaign(), "only voters campaign");
         self.change_hard_state(HardState {
             term: self.hard.term.next(),
             voted_for: Some(self.config.me),
--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -5,6 +5,7 @@
 mod nemesis;
 mod network;
 mod node;
+mod tempo;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -17,6 +18,7 @@
 pub(crate) use model::Model;
 pub(crate) use network::Network;
 pub(crate) use node::Node;
+pub(crate) use tempo::Tempo;
 
 /// What happens in the simulated world.
 pub(crate) enum Happening {
@@ -24,6 +26,7 @@
     Deliver(KeeperId, KeeperId, Message),
     DiskDone(KeeperId, u64),
     Propose,
+    Crash(KeeperId),
     Restart(KeeperId),
     Mischief,
 }
@@ -38,6 +41,7 @@
     pub(crate) network: Network,
     pub(crate) model: Model,
     pub(crate) calm: bool,
+    pub(crate) tempo: Tempo,
     pub(crate) founders: Vec<KeeperId>,
     next_seq: u64,
     next_token: u64,
@@ -57,6 +61,7 @@
             network: Network::default(),
             model: Model::default(),
             calm: true,
+            tempo: Tempo::default(),
             founders: (1..=founders).map(KeeperId).collect(),
             next_seq: 0,
             next_token: 0,
@@ -112,6 +117,9 @@
             Happening::DiskDone(id, life) if self.nodes[&id].life == life => self.sync(id),
             Happening::Tick(..) | Happening::DiskDone(..) => {}
             Happening::Propose => self.propose_something(),
+            Happening::Crash(id) => {
+                self.crash_briefly(id);
+            }
             Happening::Restart(id) => self.start(id),
             Happening::Mischief => self.do_mischief(),
         }
@@ -123,7 +131,7 @@
         let founders = self.founders.clone();
         let node = self.nodes.get_mut(&id).expect("a known keeper");
         if node.quorum.is_none() {
-            node.boot(seed, founders);
+            node.boot(seed, founders, self.tempo.election_max_ms);
             self.feed(id, Event::Tick);
         }
     }
@@ -136,8 +144,11 @@
         };
         let mut out = Vec::new();
         quorum.handle(node.clock.local(now_us), event, &mut out);
+        let life = node.life;
         for action in out {
-            self.act(id, action);
+            if self.nodes[&id].life == life {
+                self.act(id, action);
+            }
         }
         self.check_leader(id);
         self.schedule_tick(id);
@@ -161,7 +172,7 @@
     fn act(&mut self, id: KeeperId, action: Action) {
         match action {
             Action::Send { to, message } => self.transmit(id, to, &message),
-            Action::Persist(work) => self.enqueue_disk(id, work),
+            Action::Persist(work) => self.write_or_crash(id, work),
             Action::Restore(snapshot) => self.node(id).restore(&snapshot),
             Action::Apply(entry) => {
                 self.model.check_applied(&entry);
@@ -172,8 +183,6 @@
                 let node = self.node(id);
                 assert_eq!(index, node.applied);
                 let data = node.snapshot_data();
-                let after_us = self.rng.random_range(1..200);
-                let _ = after_us;
                 self.feed(id, Event::SnapshotTaken { index, data });
             }
             Action::ProposalDone { token, result } => self.model.answered(token, result),
@@ -254,7 +263,7 @@
 
     /// A command or a question to a keeper, mostly the leader.
     fn propose_something(&mut self) {
-        let pause_us = self.rng.random_range(500..8_000);
+        let pause_us = self.rng.random_range(500..self.tempo.client_us);
         self.schedule(pause_us, Happening::Propose);
         let ids: Vec<_> = self.nodes.keys().copied().collect();
         let any = ids[self.rng.random_range(0..ids.len())];
--- a/crates/hemlock_quorum/tests/sim/node.rs
+++ b/crates/hemlock_quorum/tests/sim/node.rs
@@ -72,9 +72,10 @@
         }
     }
 
-    pub(crate) fn boot(&mut self, seed: u64, founders: Vec<KeeperId>) {
-        let mut config =
-            QuorumConfig::new(self.id, self.incarnation, founders).with_snapshots(60, 20);
+    pub(crate) fn boot(&mut self, seed: u64, founders: Vec<KeeperId>, election_max_ms: u64) {
+        let mut config = QuorumConfig::new(self.id, self.incarnation, founders)
+            .with_times(100, 300, 400, election_max_ms)
+            .with_snapshots(60, 20);
         config.chunk_bytes = 300;
         config.max_message_bytes = 2_000;
         config.max_ahead_entries = 64;
@@ -126,7 +127,21 @@
 }
 
 impl Sim {
-    pub(crate) fn enqueue_disk(&mut self, id: KeeperId, work: DiskWork) {
+    /// Hands work to the disk; now and then the keeper crashes before the sync.
+    pub(crate) fn write_or_crash(&mut self, id: KeeperId, work: DiskWork) {
+        let votes = matches!(&work, DiskWork::Append(batch) if batch.hard_state.is_some());
+        let chance = match votes {
+            true => self.tempo.vote_crash,
+            false => self.tempo.write_crash,
+        };
+        self.enqueue_disk(id, work);
+        if !self.calm && self.rng.random_bool(chance) {
+            let after_us = self.rng.random_range(100..4_000);
+            self.schedule(after_us, Happening::Crash(id));
+        }
+    }
+
+    fn enqueue_disk(&mut self, id: KeeperId, work: DiskWork) {
         let node = self.nodes.get_mut(&id).expect("a known keeper");
         node.unsynced.push_back(work);
         if !node.disk_busy {
--- /dev/null
+++ b/crates/hemlock_quorum/tests/single_core.rs
@@ -0,0 +1,231 @@
+//! One core under messages made by hand: what it must not say before its disk has spoken.
+
+use bytes::Bytes;
+use hemlock_quorum::message::{Append, AppendReply, Body, VoteReply, VoteRequest};
+use hemlock_quorum::prelude::*;
+use hemlock_types::ids::Incarnation;
+use hemlock_types::time::{DurationMs, Instant};
+
+const ME: KeeperId = KeeperId(1);
+const OTHER: KeeperId = KeeperId(2);
+const THIRD: KeeperId = KeeperId(3);
+
+/// A follower of a set of three, whose log ends with entry 3 of term 1.
+struct Core {
+    quorum: Quorum,
+    now: Instant,
+    out: Vec<Action>,
+}
+
+fn disk(id: KeeperId) -> Incarnation {
+    Incarnation(100 + id.0)
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        term: Term(term),
+        index: LogIndex(index),
+        payload: Payload::Command(Bytes::from(vec![term as u8])),
+    }
+}
+
+fn recovered() -> RecoveredState {
+    let members = [ME, OTHER, THIRD].map(|id| (id, Member::voter(disk(id))));
+    let mut state = RecoveredState::empty(disk(ME));
+    state.hard_state.term = Term(1);
+    state.entries = vec![entry(1, 1), entry(2, 1), entry(3, 1)];
+    state.entries[0].payload = Payload::Members(MemberSet::new(members));
+    state
+}
+
+impl Core {
+    fn start() -> Self {
+        let config = QuorumConfig::new(ME, disk(ME), vec![ME, OTHER, THIRD]);
+        let mut core = Self {
+            quorum: Quorum::new(config, 1, recovered()).expect("a valid start"),
+            now: Instant::from_ms(10_000),
+            out: Vec::new(),
+        };
+        core.feed(Event::Tick);
+        core
+    }
+
+    fn feed(&mut self, event: Event) -> Vec<Action> {
+        self.out.clear();
+        self.quorum.handle(self.now, event, &mut self.out);
+        self.out.clone()
+    }
+
+    fn receive(&mut self, from: KeeperId, term: u64, body: Body) -> Vec<Action> {
+        let message = Message {
+            term: Term(term),
+            from_incarnation: disk(from),
+            to_incarnation: Some(disk(ME)),
+            body,
+        };
+        self.feed(Event::Received { from, message })
+    }
+
+    fn wait_ms(&mut self, ms: u64) {
+        self.now += DurationMs::new(ms);
+    }
+
+    /// Says that all work handed out by `actions` is durable.
+    fn sync(&mut self, actions: &[Action]) -> Vec<Action> {
+        let ids = actions.iter().filter_map(|action| match action {
+            Action::Persist(work) => Some(work.id()),
+            _ => None,
+        });
+        let up_to = ids.max().expect("there is disk work");
+        self.feed(Event::Synced { up_to })
+    }
+}
+
+fn ask(last_index: u64, transfer: bool) -> Body {
+    Body::VoteRequest(VoteRequest {
+        pre_vote: false,
+        transfer,
+        last_index: LogIndex(last_index),
+        last_term: Term(1),
+    })
+}
+
+fn append(prev: (u64, u64), entries: Vec<Entry>) -> Body {
+    Body::Append(Append {
+        prev_index: LogIndex(prev.0),
+        prev_term: Term(prev.1),
+        entries,
+        commit: LogIndex(1),
+        sent_us: 5,
+    })
+}
+
+fn votes(actions: &[Action]) -> Vec<bool> {
+    let vote = |action: &Action| match action {
+        Action::Send { message, .. } => match message.body {
+            Body::VoteReply(reply) => Some(reply.granted),
+            _ => None,
+        },
+        _ => None,
+    };
+    actions.iter().filter_map(vote).collect()
+}
+
+fn acks(actions: &[Action]) -> Vec<LogIndex> {
+    let ack = |action: &Action| match action {
+        Action::Send { message, .. } => match message.body {
+            Body::AppendReply(reply) => Some(reply.matched),
+            _ => None,
+        },
+        _ => None,
+    };
+    actions.iter().filter_map(ack).collect()
+}
+
+#[test]
+fn a_vote_is_sent_once_it_is_durable() {
+    let mut core = Core::start();
+    core.wait_ms(400);
+    let asked = core.receive(OTHER, 2, ask(3, false));
+    assert_eq!(votes(&asked), []);
+    let synced = core.sync(&asked);
+    assert_eq!(votes(&synced), [true]);
+    let other = core.receive(THIRD, 2, ask(9, false));
+    assert_eq!(votes(&other), [false], "one vote a term");
+}
+
+#[test]
+fn no_vote_is_given_while_a_leader_may_hold_a_lease() {
+    let mut core = Core::start();
+    let early = core.receive(OTHER, 2, ask(3, false));
+    assert_eq!(votes(&early), [false], "an earlier life may have heard one");
+    core.wait_ms(2_000);
+    core.receive(OTHER, 2, append((3, 1), Vec::new()));
+    core.wait_ms(399);
+    let refused = core.receive(THIRD, 3, ask(3, false));
+    assert_eq!(votes(&refused), [false]);
+    assert_eq!(core.quorum.status().term, Term(2));
+    let transfer = core.receive(THIRD, 3, ask(3, true));
+    assert_eq!(votes(&core.sync(&transfer)), [true]);
+}
+
+#[test]
+fn a_shorter_log_gets_no_vote() {
+    let mut core = Core::start();
+    let refused = core.receive(OTHER, 2, ask(2, true));
+    assert_eq!(votes(&refused), [false]);
+}
+
+#[test]
+fn a_vote_meant_for_another_disk_is_not_given() {
+    let mut core = Core::start();
+    core.wait_ms(1_000);
+    let message = Message {
+        term: Term(2),
+        from_incarnation: disk(OTHER),
+        to_incarnation: Some(Incarnation(1)),
+        body: ask(9, true),
+    };
+    let ignored = core.feed(Event::Received {
+        from: OTHER,
+        message,
+    });
+    assert_eq!(votes(&ignored), []);
+}
+
+#[test]
+fn replaced_entries_are_acknowledged_once_they_are_durable() {
+    let mut core = Core::start();
+    let entries = vec![entry(3, 2), entry(4, 2)];
+    let taken = core.receive(OTHER, 2, append((2, 1), entries));
+    assert_eq!(acks(&taken), []);
+    let heartbeat = core.receive(OTHER, 2, append((4, 2), Vec::new()));
+    assert_eq!(acks(&heartbeat), [LogIndex(2)]);
+    assert_eq!(acks(&core.sync(&taken)), [LogIndex(4)]);
+}
+
+/// Makes the core the leader of term 2, with its own first entry at 4.
+fn lead(core: &mut Core) -> Vec<Action> {
+    core.wait_ms(1_000);
+    core.feed(Event::Tick);
+    for pre_vote in [true, false] {
+        let reply = VoteReply {
+            pre_vote,
+            asked: Term(2),
+            granted: true,
+        };
+        let campaign = core.receive(OTHER, 1 + u64::from(!pre_vote), Body::VoteReply(reply));
+        if !pre_vote {
+            continue;
+        }
+        core.sync(&campaign);
+    }
+    core.out.clone()
+}
+
+#[test]
+fn a_leader_commits_only_through_an_entry_of_its_own_term() {
+    let mut core = Core::start();
+    let led = lead(&mut core);
+    assert_eq!(core.quorum.status().role, QuorumRole::Leader);
+    let reply = |matched| {
+        Body::AppendReply(AppendReply {
+            matched: LogIndex(matched),
+            rejected: None,
+            echo_us: 5,
+        })
+    };
+    for follower in [OTHER, THIRD] {
+        core.receive(follower, 2, reply(3));
+    }
+    assert_eq!(core.quorum.status().commit, LogIndex::ZERO);
+    core.receive(OTHER, 2, reply(4));
+    assert_eq!(
+        core.quorum.status().commit,
+        LogIndex::ZERO,
+        "own entry unsynced"
+    );
+    core.sync(&led);
+    assert_eq!(core.quorum.status().commit, LogIndex(4));
+    assert!(core.quorum.is_serving());
+}
