Hold an asked-for credit for one round trip, and push to ready entries only

Cause: a credit granted to an entry that had found a slot elsewhere idled for 25 ms; and a push that overtook the end of the handshake was refused by the entry and its credits lost. Change: the gate learns each link's round trip from heartbeats and holds an asked-for credit for that time and 2 ms; pushes wait until the entry answers its first heartbeat.

--- a/crates/hemlock_agent/src/links.rs
+++ b/crates/hemlock_agent/src/links.rs
@@ -13,6 +13,9 @@
 /// Time between heartbeats, and to wait for the answer to one.
 const HEARTBEAT: DurationMs = DurationMs::new(1_000);
 
+/// Pause before an entry is tried again that has not seen the end of the handshake.
+const HANDSHAKE_POLL: DurationMs = DurationMs::new(2);
+
 /// Heartbeats without an answer after which a link is silent.
 const MAX_MISSES: u32 = 3;
 
@@ -23,8 +26,23 @@
     pushed: mpsc::UnboundedReceiver<EntryRequest>,
     commands: Sender<Command>,
 ) {
-    spawn_local(push(link, back.clone(), pushed, commands.clone()));
-    spawn_local(watch(link, back, commands));
+    spawn_local(async move {
+        await_entry(&back).await;
+        spawn_local(push(link, back.clone(), pushed, commands.clone()));
+        watch(link, back, commands).await;
+    });
+}
+
+/// Returns when the entry answers: until it has seen the end of the handshake, it refuses
+/// every call, and a push would be lost.
+async fn await_entry(back: &Link) {
+    while !back.is_closed() {
+        let ping = back.call::<_, EntryReply>(&EntryRequest::Ping);
+        if let Ok(Ok(_)) = tokio::time::timeout(HEARTBEAT.as_std(), ping).await {
+            return;
+        }
+        tokio::time::sleep(HANDSHAKE_POLL.as_std()).await;
+    }
 }
 
 /// Sends what the control thread pushes, in order and without waiting for answers.
@@ -53,25 +71,33 @@
     }
 }
 
-/// Tells the control thread when the entry stops and starts to answer heartbeats.
+/// Tells the control thread how long heartbeats take, and when the entry stops and starts to
+/// answer them.
 async fn watch(link: LinkId, back: Link, commands: Sender<Command>) {
     let mut misses = 0;
     while !back.is_closed() {
-        tokio::time::sleep(HEARTBEAT.as_std()).await;
+        let sent = tokio::time::Instant::now();
         let ping = back.call::<_, EntryReply>(&EntryRequest::Ping);
         let answered = tokio::time::timeout(HEARTBEAT.as_std(), ping).await;
-        let event = match answered {
-            Ok(Ok(_)) if misses >= MAX_MISSES => Some(Event::Heard { link }),
-            Ok(Ok(_)) => None,
-            _ if misses + 1 == MAX_MISSES => Some(Event::Silent { link }),
-            _ => None,
-        };
+        let was_silent = misses >= MAX_MISSES;
         misses = match answered {
             Ok(Ok(_)) => 0,
-            _ => misses.saturating_add(1),
+            _ => misses + 1,
+        };
+        let event = match misses {
+            0 if was_silent => Some(Event::Heard { link }),
+            0 => Some(round_trip(link, sent.elapsed())),
+            MAX_MISSES => Some(Event::Silent { link }),
+            _ => None,
         };
         if let Some(event) = event {
             let _ = commands.send(Command::Event(event));
         }
+        tokio::time::sleep_until(sent + HEARTBEAT.as_std()).await;
     }
 }
+
+fn round_trip(link: LinkId, took: std::time::Duration) -> Event {
+    let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+    Event::RoundTrip { link, micros }
+}
--- a/crates/hemlock_gate/src/config.rs
+++ b/crates/hemlock_gate/src/config.rs
@@ -14,9 +14,9 @@
 /// Default bound on kept outcomes, in bytes of body.
 const MAX_OUTCOME_BYTES: usize = 16 << 20;
 
-/// Default time in which a credit that an entry has asked for may not be recalled, in
-/// milliseconds.
-const PROMISE_MS: u64 = 25;
+/// Default time, beyond a link's round trip, in which a credit that its entry has asked for may
+/// not be recalled, in milliseconds.
+const PROMISE_MS: u64 = 2;
 
 /// Default bound on cancelled starts that have not arrived, for each entry.
 const MAX_REVOKED: usize = 4_096;
@@ -36,7 +36,8 @@
     pub max_outcome_bytes: usize,
     /// Bound on cancelled starts that have not arrived, for each entry.
     pub max_revoked: usize,
-    /// Time in which a credit that an entry has asked for may not be recalled.
+    /// Time, beyond a link's round trip, in which a credit that its entry has asked for may not
+    /// be recalled.
     pub promise: DurationMs,
 }
 
--- a/crates/hemlock_gate/src/credit.rs
+++ b/crates/hemlock_gate/src/credit.rs
@@ -7,7 +7,8 @@
 //! is told by a recall, and a start that crosses it on the way is served like any start
 //! without a credit.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 use hemlock_types::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -15,6 +16,18 @@
 
 use crate::event::LinkId;
 
+/// Microseconds in a millisecond.
+const MICROS_PER_MS: u64 = 1_000;
+
+/// Round trip assumed before the first measurement, in microseconds.
+const FIRST_ROUND_TRIP_MICROS: u64 = 5_000;
+
+/// Longest round trip that a promise waits for, in microseconds.
+const MAX_ROUND_TRIP_MICROS: u64 = 25_000;
+
+/// A measured round trip counts one part in this many.
+const SMOOTHING: u64 = 4;
+
 /// What a deal changes: credits to grant and to recall, by link.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Deal {
@@ -70,6 +83,8 @@
     fn silence(&mut self, link: LinkId, out: &mut Deal);
     /// The silent link is heard again.
     fn hear(&mut self, link: LinkId);
+    /// The link's round trip took `micros` microseconds.
+    fn note_round_trip(&mut self, link: LinkId, micros: u64);
     /// The entry has `count` tasks waiting.
     fn want(&mut self, now: Instant, link: LinkId, count: u16);
     /// A start has arrived; it uses a credit if the link holds one. Says whether it did.
@@ -99,6 +114,8 @@
     promised: u16,
     /// Until when.
     promised_until: Instant,
+    /// Smoothed round trip, in microseconds; zero before the first measurement.
+    round_trip_micros: u64,
     /// Waiting tasks of the entry.
     want: u16,
     /// Whether the link stands in the queue of waiting links.
@@ -123,6 +140,15 @@
         self.reserved().saturating_sub(self.promised)
     }
 
+    /// How long an asked-for credit may take to come back as a start, given a margin.
+    fn promise(&self, margin: DurationMs) -> DurationMs {
+        let round_trip_micros = match self.round_trip_micros {
+            0 => FIRST_ROUND_TRIP_MICROS,
+            micros => micros.min(MAX_ROUND_TRIP_MICROS),
+        };
+        DurationMs::new(round_trip_micros.div_ceil(MICROS_PER_MS) + margin.as_ms())
+    }
+
     fn settle_bounds(&mut self) {
         self.recalling = self.recalling.min(self.held);
         self.promised = self.promised.min(self.reserved());
@@ -137,8 +163,8 @@
     waiting: VecDeque<LinkId>,
     /// Links with spare credits, the longest idle first.
     spare: BTreeSet<(Instant, LinkId)>,
-    /// Links with promised credits, in the order in which the promises end.
-    promises: VecDeque<(Instant, LinkId)>,
+    /// Links with promised credits, the promise that ends first at the top.
+    promises: BinaryHeap<Reverse<(Instant, LinkId)>>,
     /// Links in the order in which spare slots are spread.
     turn: VecDeque<LinkId>,
     reserved: u16,
@@ -147,14 +173,14 @@
 }
 
 impl DealtCredits {
-    /// A book whose asked-for credits can't be recalled for `promise`. The seed decides which
+    /// A book whose asked-for credits can't be recalled for a round trip and `promise` more. The seed decides which
     /// links hold credits while there are fewer slots than links.
     pub fn new(promise: DurationMs, seed: u64) -> Self {
         Self {
             accounts: HashMap::new(),
             waiting: VecDeque::new(),
             spare: BTreeSet::new(),
-            promises: VecDeque::new(),
+            promises: BinaryHeap::new(),
             turn: VecDeque::new(),
             reserved: 0,
             promise,
@@ -180,18 +206,19 @@
     }
 
     fn grant(&mut self, now: Instant, link: LinkId, promised: bool, out: &mut Deal) {
-        let until = now + self.promise;
-        self.change(link, |account| {
+        let margin = self.promise;
+        let until = self.change(link, |account| {
             account.held += 1;
             account.granted += 1;
             account.used = now;
             if promised {
                 account.promised += 1;
-                account.promised_until = until;
+                account.promised_until = now + account.promise(margin);
             }
+            account.promised_until
         });
-        if promised {
-            self.promises.push_back((until, link));
+        if let Some(until) = until.filter(|_| promised) {
+            self.promises.push(Reverse((until, link)));
         }
         out.grant(link);
     }
@@ -202,11 +229,11 @@
     }
 
     fn end_promises(&mut self, now: Instant) {
-        while let Some((until, link)) = self.promises.front().copied() {
+        while let Some(Reverse((until, link))) = self.promises.peek().copied() {
             if until > now {
                 return;
             }
-            self.promises.pop_front();
+            self.promises.pop();
             self.change(link, |account| {
                 if account.promised_until <= now {
                     account.promised = 0;
@@ -259,9 +286,9 @@
         }
     }
 
-    /// The link whose promise is the newest.
+    /// The link whose promise ends first and that still holds a credit.
     fn any_promised(&mut self) -> Option<LinkId> {
-        while let Some((_, link)) = self.promises.back().copied() {
+        while let Some(Reverse((_, link))) = self.promises.peek().copied() {
             let holds = self
                 .accounts
                 .get(&link)
@@ -269,7 +296,7 @@
             if holds {
                 return Some(link);
             }
-            self.promises.pop_back();
+            self.promises.pop();
         }
         None
     }
@@ -378,6 +405,16 @@
         self.change(link, |account| account.silent = false);
     }
 
+    fn note_round_trip(&mut self, link: LinkId, micros: u64) {
+        self.change(link, |account| {
+            account.round_trip_micros = match account.round_trip_micros {
+                0 => micros,
+                known => (known * (SMOOTHING - 1) + micros) / SMOOTHING,
+            }
+            .max(1);
+        });
+    }
+
     fn want(&mut self, now: Instant, link: LinkId, count: u16) {
         self.end_promises(now);
         let Some(account) = self.accounts.get_mut(&link) else {
@@ -465,7 +502,7 @@
     fn next_wakeup(&self) -> Option<Instant> {
         match self.waiting.is_empty() {
             true => None,
-            false => self.promises.front().map(|(until, _)| *until),
+            false => self.promises.peek().map(|Reverse((until, _))| *until),
         }
     }
 }
@@ -479,6 +516,7 @@
     fn close(&mut self, _link: LinkId) {}
     fn silence(&mut self, _link: LinkId, _out: &mut Deal) {}
     fn hear(&mut self, _link: LinkId) {}
+    fn note_round_trip(&mut self, _link: LinkId, _micros: u64) {}
     fn want(&mut self, _now: Instant, _link: LinkId, _count: u16) {}
     fn consume(&mut self, _now: Instant, _link: LinkId) -> bool {
         false
--- a/crates/hemlock_gate/src/event.rs
+++ b/crates/hemlock_gate/src/event.rs
@@ -43,6 +43,13 @@
         /// The connection.
         link: LinkId,
     },
+    /// A heartbeat on a connection was answered after this time.
+    RoundTrip {
+        /// The connection.
+        link: LinkId,
+        /// From sending to the answer, in microseconds.
+        micros: u64,
+    },
     /// The endpoint instance is announced, for the first time or again.
     Announced(Offer),
     /// The endpoint instance is withdrawn.
--- a/crates/hemlock_gate/src/gate.rs
+++ b/crates/hemlock_gate/src/gate.rs
@@ -110,6 +110,7 @@
             Event::Closed { link } => self.close(now, link),
             Event::Silent { link } => self.silence(link),
             Event::Heard { link } => self.hear(link),
+            Event::RoundTrip { link, micros } => self.note_round_trip(link, micros),
             Event::Announced(offer) => self.announce(offer),
             Event::Withdrawn => self.withdraw(),
             Event::Unreachable => self.step(EndpointEvent::Unreachable),
@@ -164,6 +165,11 @@
         Spare::Spread
     }
 
+    fn note_round_trip(&mut self, link: LinkId, micros: u64) -> Spare {
+        self.credits.note_round_trip(link, micros);
+        Spare::Keep
+    }
+
     fn announce(&mut self, offer: Offer) -> Spare {
         self.offer = Some(offer);
         self.step(EndpointEvent::Announce)
