--- a/crates/hemlock_keeper/src/core/event.rs
+++ b/crates/hemlock_keeper/src/core/event.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use hemlock_quorum::prelude::{DiskWork, KeeperId, Message, WorkId};
+use hemlock_quorum::prelude::{DiskWork, KeeperId, LogIndex, Message, WorkId};
 use hemlock_wire::message::keeper::{KeeperReply, KeeperRequest};
 
+use crate::state::StateSnapshot;
+
 /// Names one request of the shell, so that its answer can be matched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReplyToken(pub u64);
@@ -60,6 +62,13 @@
         /// The last durable work.
         up_to: WorkId,
     },
+    /// The answer to [`KeeperAction::EncodeSnapshot`].
+    SnapshotEncoded {
+        /// The last entry that the state contains.
+        index: LogIndex,
+        /// The state as bytes.
+        data: Bytes,
+    },
     /// The keeper is to stop: it hands leadership over and finishes what is under way.
     Drain,
 }
@@ -76,6 +85,13 @@
     },
     /// Hands work to the disk thread.
     Persist(DiskWork),
+    /// Encodes the state, which may take long; answered by [`KeeperEvent::SnapshotEncoded`].
+    EncodeSnapshot {
+        /// The last entry that the state contains.
+        index: LogIndex,
+        /// The state.
+        state: Box<StateSnapshot>,
+    },
     /// Answers a request or an operator's call.
     Reply {
         /// The request.
--- a/crates/hemlock_keeper/src/core/mod.rs
+++ b/crates/hemlock_keeper/src/core/mod.rs
@@ -155,6 +155,9 @@
         match event {
             KeeperEvent::Tick => {}
             KeeperEvent::Synced { up_to } => inputs.push(Event::Synced { up_to }),
+            KeeperEvent::SnapshotEncoded { index, data } => {
+                inputs.push(Event::SnapshotTaken { index, data });
+            }
             KeeperEvent::Received { from, message } => {
                 inputs.push(Event::Received { from, message });
             }
@@ -175,7 +178,7 @@
             self.quorum.handle_all(now, inputs.drain(..), &mut actions);
             let mut outputs = BTreeMap::new();
             for action in actions {
-                self.do_action(now, action, &mut inputs, &mut outputs, out);
+                self.do_action(now, action, &mut outputs, out);
             }
             self.propose_batches(now, &mut inputs, out);
         }
--- a/crates/hemlock_keeper/src/core/proposals.rs
+++ b/crates/hemlock_keeper/src/core/proposals.rs
@@ -2,16 +2,17 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use hemlock_quorum::prelude::*;
 use hemlock_types::prelude::*;
 
-use super::batch::{Batch, Waiter};
+use super::batch::Waiter;
 use super::event::KeeperAction;
 use super::leading::Leading;
 use super::{KeeperCore, UPKEEP_MS};
-use crate::command::{Command, Output};
+use crate::command::{Command, CommandItem, Output};
 use crate::error::{KeeperError, StateError};
-use crate::state::KeeperState;
+use crate::state::{KeeperState, StateSnapshot};
 
 /// Outputs of the commands applied in one pass, by their place in the log.
 pub(super) type Outputs = BTreeMap<LogIndex, Vec<Output>>;
@@ -25,20 +26,16 @@
         out: &mut Vec<KeeperAction>,
     ) {
         for batch in self.batches.take() {
-            match self.encode_batch(now, &batch) {
+            match self.encode_items(now, batch.items) {
                 Some(command) => inputs.push(self.propose(command, batch.waiters)),
                 None => self.refuse_waiters(now, batch.waiters, &self.not_leader(), out),
             }
         }
     }
 
-    fn encode_batch(&mut self, now: Instant, batch: &Batch) -> Option<bytes::Bytes> {
+    fn encode_items(&mut self, now: Instant, items: Vec<CommandItem>) -> Option<Bytes> {
         let at_ms = self.leading.as_ref()?.now_ms(now);
-        let command = Command {
-            at_ms,
-            items: batch.items.clone(),
-        };
-        match command.encode() {
+        match (Command { at_ms, items }).encode() {
             Ok(bytes) => Some(bytes),
             Err(error) => {
                 self.failure = Some(error.into());
@@ -47,7 +44,7 @@
         }
     }
 
-    fn propose(&mut self, command: bytes::Bytes, waiters: Vec<Waiter>) -> Event {
+    fn propose(&mut self, command: Bytes, waiters: Vec<Waiter>) -> Event {
         self.next_proposal += 1;
         let token = ProposalToken(self.next_proposal);
         self.proposed.insert(token, waiters);
@@ -67,7 +64,6 @@
         &mut self,
         now: Instant,
         action: Action,
-        inputs: &mut Vec<Event>,
         outputs: &mut Outputs,
         out: &mut Vec<KeeperAction>,
     ) {
@@ -76,7 +72,10 @@
             Action::Persist(work) => out.push(KeeperAction::Persist(work)),
             Action::Restore(snapshot) => self.restore(&snapshot, out),
             Action::Apply(entry) => self.apply(now, &entry, outputs, out),
-            Action::TakeSnapshot { index } => self.take_snapshot(index, inputs),
+            Action::TakeSnapshot { index } => {
+                let state = Box::new(self.state.snapshot());
+                out.push(KeeperAction::EncodeSnapshot { index, state });
+            }
             Action::ProposalDone { token, result } => {
                 self.finish_proposal(now, token, result, outputs, out);
             }
@@ -87,8 +86,9 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot, out: &mut Vec<KeeperAction>) {
-        match KeeperState::decode(&snapshot.data) {
-            Ok(state) => {
+        match StateSnapshot::decode(&snapshot.data) {
+            Ok(stored) => {
+                let state = KeeperState::from(stored);
                 assert!(
                     state.config().version() >= self.state.config().version(),
                     "a snapshot never takes the configuration back"
@@ -142,13 +142,6 @@
         }
     }
 
-    fn take_snapshot(&mut self, index: LogIndex, inputs: &mut Vec<Event>) {
-        match self.state.encode() {
-            Ok(data) => inputs.push(Event::SnapshotTaken { index, data }),
-            Err(error) => self.fail(error),
-        }
-    }
-
     fn start_leading(&mut self, now: Instant, term: Term) {
         metrics::counter!("hemlock_keeper_elections_won_total", "keeper" => self.me.to_string())
             .increment(1);
--- a/crates/hemlock_keeper/src/shell/control.rs
+++ b/crates/hemlock_keeper/src/shell/control.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::answers::{Answerer, Answers};
-use super::input::{Input, LaneOrder};
+use super::input::{EncodeOrder, Input, LaneOrder};
 use crate::core::KeeperCore;
 use crate::core::event::{KeeperAction, KeeperEvent};
 use crate::error::KeeperError;
@@ -30,6 +30,7 @@
     pub(super) inputs: Receiver<Input>,
     pub(super) lane: mpsc::UnboundedSender<LaneOrder>,
     pub(super) disk: Sender<Vec<DiskWork>>,
+    pub(super) encoder: Sender<EncodeOrder>,
     pub(super) ready: Arc<AtomicBool>,
     pub(super) instance: String,
     pub(super) answers: Answers,
@@ -83,6 +84,7 @@
             match input {
                 Input::Kill => return Ok(None),
                 Input::DiskFailed(error) => return Err(error.into()),
+                Input::Encoded(_, Err(error)) => return Err(error.into()),
                 input => events.extend(self.take_input(input)),
             }
         }
@@ -109,7 +111,8 @@
             Input::Forwarded(token, reply) => Some(KeeperEvent::Forwarded { token, reply }),
             Input::Synced(up_to) => Some(KeeperEvent::Synced { up_to }),
             Input::Drain => Some(KeeperEvent::Drain),
-            Input::Kill | Input::DiskFailed(_) => None,
+            Input::Encoded(index, Ok(data)) => Some(KeeperEvent::SnapshotEncoded { index, data }),
+            Input::Kill | Input::DiskFailed(_) | Input::Encoded(_, Err(_)) => None,
         }
     }
 
@@ -128,6 +131,10 @@
         for action in actions {
             match action {
                 KeeperAction::Persist(item) => work.push(item),
+                KeeperAction::EncodeSnapshot { index, state } => {
+                    // The encoder ends before this thread only when it has panicked.
+                    drop(self.encoder.send(EncodeOrder { index, state }));
+                }
                 KeeperAction::Send { to, message } => self.order(LaneOrder::Send(to, message)),
                 KeeperAction::Reply { token, reply } => self.answers.answer(token, reply),
                 KeeperAction::Forward { token, to, call } => {
--- a/crates/hemlock_keeper/src/shell/handle.rs
+++ b/crates/hemlock_keeper/src/shell/handle.rs
@@ -26,6 +26,7 @@
     pub(super) control: JoinHandle<Result<(), KeeperError>>,
     pub(super) disk: JoinHandle<()>,
     pub(super) lane: JoinHandle<()>,
+    pub(super) encoder: JoinHandle<()>,
     pub(super) http: HttpServer,
 }
 
@@ -100,9 +101,13 @@
             .lane
             .join()
             .map_err(|_| KeeperError::Panicked("lane"));
+        let encoder = threads
+            .encoder
+            .join()
+            .map_err(|_| KeeperError::Panicked("encoder"));
         threads.http.stop();
         threads.http.join();
-        result.and(disk).and(lane)
+        result.and(disk).and(lane).and(encoder)
     }
 }
 
--- a/crates/hemlock_keeper/src/shell/input.rs
+++ b/crates/hemlock_keeper/src/shell/input.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use hemlock_http::prelude::Responder;
-use hemlock_quorum::prelude::{KeeperId, Message, StorageError, WorkId};
+use hemlock_quorum::prelude::{KeeperId, LogIndex, Message, StorageError, WorkId};
 use hemlock_wire::message::keeper::{KeeperReply, KeeperRequest};
 use tokio::sync::oneshot;
 
 use crate::core::event::{OperatorCall, ReplyToken};
+use crate::error::StateError;
+use crate::state::StateSnapshot;
 
 /// What reaches the control thread.
 pub(super) enum Input {
@@ -22,6 +25,8 @@
     Forwarded(ReplyToken, Option<KeeperReply>),
     /// Disk work is durable.
     Synced(WorkId),
+    /// A snapshot is encoded.
+    Encoded(LogIndex, Result<Bytes, StateError>),
     /// The disk has failed.
     DiskFailed(StorageError),
     /// Stop, with a drain.
@@ -39,3 +44,9 @@
     /// The keepers' addresses.
     Keepers(BTreeMap<KeeperId, SocketAddr>),
 }
+
+/// A snapshot to be encoded.
+pub(super) struct EncodeOrder {
+    pub(super) index: LogIndex,
+    pub(super) state: Box<StateSnapshot>,
+}
--- a/crates/hemlock_keeper/src/shell/mod.rs
+++ b/crates/hemlock_keeper/src/shell/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod disk;
 mod edge;
+mod encoder;
 mod handle;
 mod input;
 mod lane;
--- a/crates/hemlock_keeper/src/shell/start.rs
+++ b/crates/hemlock_keeper/src/shell/start.rs
@@ -19,14 +19,20 @@
 use super::control::Control;
 use super::disk;
 use super::edge::Edge;
+use super::encoder;
 use super::handle::{KeeperHandle, Threads};
-use super::input::{Input, LaneOrder};
+use super::input::{EncodeOrder, Input, LaneOrder};
 use super::lane::Lane;
 use crate::core::KeeperCore;
 use crate::error::KeeperError;
 
 /// Largest command of the log, in bytes.
 const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of the log that call for a snapshot. The ledger is much larger than a few changes, so
+/// that frequent snapshots would write far more than the log does.
+const SNAPSHOT_AFTER_BYTES: u64 = 64 * 1024 * 1024;
+/// Entries of the log that call for a snapshot.
+const SNAPSHOT_AFTER_ENTRIES: u64 = 100_000;
 /// Largest body that an operator may send, in bytes.
 const MAX_BODY_BYTES: usize = 512 * 1024;
 /// Operators' connections at once.
@@ -61,6 +67,7 @@
         drop(lane_orders.send(LaneOrder::Keepers(keepers)));
         let (stop_lane, lane_stopped) = watch::channel(false);
         let (disk_work, disk_queue) = unbounded();
+        let (encoder, encoder_queue) = unbounded();
         let ready = Arc::new(AtomicBool::new(false));
         let instance = format!("keeper-{}", settings.keeper_id);
         let http = start_http(&settings, &inputs, &ready, &instance)?;
@@ -70,6 +77,7 @@
             inputs: received,
             lane: lane_orders,
             disk: disk_work,
+            encoder,
             ready,
             instance: instance.clone(),
             answers: Answers::default(),
@@ -86,6 +94,7 @@
         let threads = Threads {
             disk: start_disk(storage, disk_queue, inputs.clone(), instance)?,
             lane: start_lane(lane)?,
+            encoder: start_encoder(encoder_queue, inputs.clone())?,
             control: spawn("keeper-control", move || control.run())?,
             http,
         };
@@ -128,6 +137,8 @@
     let founders = settings.keepers.iter().map(|keeper| KeeperId(keeper.id));
     let mut config = QuorumConfig::new(me, recovered.incarnation, founders.collect());
     config.max_command_bytes = MAX_COMMAND_BYTES;
+    config.snapshot_after_bytes = SNAPSHOT_AFTER_BYTES;
+    config.snapshot_after_entries = SNAPSHOT_AFTER_ENTRIES;
     let limits = LedgerLimits::default();
     KeeperCore::new(config, limits, rand::random(), recovered, keepers)
 }
@@ -172,6 +183,13 @@
     })
 }
 
+fn start_encoder(
+    queue: Receiver<EncodeOrder>,
+    control: Sender<Input>,
+) -> Result<JoinHandle<()>, KeeperError> {
+    spawn("keeper-encoder", move || encoder::run(&queue, &control))
+}
+
 fn start_lane(lane: Lane) -> Result<JoinHandle<()>, KeeperError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_io()
--- a/crates/hemlock_keeper/src/state.rs
+++ b/crates/hemlock_keeper/src/state.rs
@@ -20,7 +20,7 @@
 /// What survives: contracts, planned stops, the entries that may hold leases, and the ledger.
 ///
 /// It is a pure function of the commands applied.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeeperState {
     now_ms: u64,
     config: ConfigState,
@@ -29,6 +29,16 @@
     ledger: Ledger,
 }
 
+/// The state at one moment, to be written down while the state itself goes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateSnapshot {
+    now_ms: u64,
+    config: ConfigState,
+    entries: EntrySet,
+    keepers: BTreeMap<u64, SocketAddr>,
+    ledger: LedgerSnapshot,
+}
+
 /// Entries that may hold a configuration lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntrySet(BTreeSet<Incarnation>);
@@ -146,7 +156,32 @@
         }
     }
 
-    /// The state as bytes.
+    /// The state as it is now. Takes little time however large the ledger is.
+    pub fn snapshot(&self) -> StateSnapshot {
+        StateSnapshot {
+            now_ms: self.now_ms,
+            config: self.config.clone(),
+            entries: self.entries.clone(),
+            keepers: self.keepers.clone(),
+            ledger: self.ledger.snapshot(),
+        }
+    }
+}
+
+impl From<StateSnapshot> for KeeperState {
+    fn from(snapshot: StateSnapshot) -> Self {
+        Self {
+            now_ms: snapshot.now_ms,
+            config: snapshot.config,
+            entries: snapshot.entries,
+            keepers: snapshot.keepers,
+            ledger: snapshot.ledger.into(),
+        }
+    }
+}
+
+impl StateSnapshot {
+    /// The snapshot as bytes.
     ///
     /// # Errors
     ///
@@ -157,7 +192,7 @@
         Ok(Bytes::from(bytes))
     }
 
-    /// Reads the state back from bytes.
+    /// Reads a snapshot back from bytes.
     ///
     /// # Errors
     ///
--- a/crates/hemlock_keeper/tests/simulation/world.rs
+++ b/crates/hemlock_keeper/tests/simulation/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use bytes::Bytes;
 use hemlock_keeper::prelude::*;
 use hemlock_ledger::prelude::*;
 use hemlock_quorum::prelude::*;
@@ -42,6 +43,7 @@
 enum Parcel {
     Message(KeeperId, usize, Message),
     Synced(usize, u64, Vec<DiskWork>),
+    Encoded(usize, u64, LogIndex, Bytes),
     Request(usize, u64, KeeperRequest),
     Reply(u64, KeeperReply),
     Forward(usize, ReplyToken, usize, OperatorCall),
@@ -307,7 +309,10 @@
                     self.feed(index, vec![KeeperEvent::Synced { up_to }]);
                 }
             }
-            Parcel::Synced(..) => {}
+            Parcel::Encoded(to, life, index, data) if self.keepers[to].life == life => {
+                self.feed(to, vec![KeeperEvent::SnapshotEncoded { index, data }]);
+            }
+            Parcel::Synced(..) | Parcel::Encoded(..) => {}
             Parcel::Request(to, number, request) => {
                 if self.keepers[to].core.is_some() && !self.is_cut(None, Some(to)) {
                     let token = ReplyToken(self.draw_number());
@@ -395,6 +400,11 @@
                 self.post(Parcel::Message(from, to.0 as usize - 1, message));
             }
             KeeperAction::Persist(item) => work.push(item),
+            KeeperAction::EncodeSnapshot { index: at, state } => {
+                let data = state.encode().expect("the state has a binary form");
+                let life = self.keepers[index].life;
+                self.post(Parcel::Encoded(index, life, at, data));
+            }
             KeeperAction::Reply { token, reply } => self.take_reply(index, token, reply),
             KeeperAction::Forward { token, to, call } => {
                 self.post(Parcel::Forward(index, token, to.0 as usize - 1, call));
--- a/crates/hemlock_ledger/src/ledger.rs
+++ b/crates/hemlock_ledger/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger's state and the changes it takes.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 use hemlock_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -10,6 +10,7 @@
     CancelReply, ClaimReply, ClaimRequest, EndRecord, PreviousClaim, SubmissionResult,
 };
 use crate::record::{Claim, Record, State, deadline_ms, result_bytes};
+use crate::records::Records;
 
 /// Tells which entries hold a configuration lease, and so may still be running what they claimed.
 pub trait LiveEntries {
@@ -21,20 +22,47 @@
 ///
 /// Every keeper applies the same changes in the same order, with the same time in milliseconds,
 /// and so holds the same state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ledger {
     limits: LedgerLimits,
-    records: HashMap<SubmissionId, Record>,
+    records: Records,
     forget: BTreeSet<(u64, SubmissionId)>,
     answer_bytes: usize,
 }
 
+/// A ledger at one moment, to be written down while the ledger itself goes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerSnapshot {
+    limits: LedgerLimits,
+    records: Records,
+}
+
+impl From<LedgerSnapshot> for Ledger {
+    fn from(snapshot: LedgerSnapshot) -> Self {
+        let records = snapshot.records;
+        let forget = records
+            .iter()
+            .map(|(submission, record)| (record.forget_at_ms, *submission))
+            .collect();
+        let answer_bytes = records
+            .iter()
+            .map(|(_, record)| record.answer_bytes())
+            .sum();
+        Self {
+            limits: snapshot.limits,
+            records,
+            forget,
+            answer_bytes,
+        }
+    }
+}
+
 impl Ledger {
     /// An empty ledger.
     pub fn new(limits: LedgerLimits) -> Self {
         Self {
             limits,
-            records: HashMap::new(),
+            records: Records::default(),
             forget: BTreeSet::new(),
             answer_bytes: 0,
         }
@@ -47,7 +75,15 @@
 
     /// Whether it holds none.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.records.len() == 0
+    }
+
+    /// The ledger as it is now. Takes little time however much it holds.
+    pub fn snapshot(&self) -> LedgerSnapshot {
+        LedgerSnapshot {
+            limits: self.limits,
+            records: self.records.clone(),
+        }
     }
 
     /// Bytes of answers held.
--- a/crates/hemlock_ledger/src/lib.rs
+++ b/crates/hemlock_ledger/src/lib.rs
@@ -31,10 +31,11 @@
 pub mod limits;
 pub mod message;
 mod record;
+mod records;
 
 /// The items that most callers need.
 pub mod prelude {
-    pub use crate::ledger::{Ledger, LiveEntries};
+    pub use crate::ledger::{Ledger, LedgerSnapshot, LiveEntries};
     pub use crate::limits::LedgerLimits;
     pub use crate::message::{
         CancelReply, ClaimReply, ClaimRequest, EndRecord, PreviousClaim, SubmissionResult,
