--- a/crates/hemlock_quorum/tests/cluster.rs
+++ b/crates/hemlock_quorum/tests/cluster.rs
@@ -1,34 +1,157 @@
-//! A cluster of three keepers without faults, and with the plain ones.
+//! A cluster of three keepers through one fault at a time, or two in a row.
 
 mod sim;
 
+use hemlock_quorum::prelude::*;
 use sim::Sim;
 
 /// Longest time from a leader's death to the next accepted command, in milliseconds.
 const TAKE_OVER_MS: u64 = 2_000;
 
+/// Time in which a lost disk must be replaced, in milliseconds.
+const REPAIR_MS: u64 = 10_000;
+
 fn founded(seed: u64) -> Sim {
     let mut sim = Sim::new(seed, 3, 0);
     assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()));
+    sim.run_ms(500, |_| false);
     sim
 }
 
+fn leader(sim: &Sim) -> KeeperId {
+    sim.leader().expect("there is a leader")
+}
+
+fn accepts_more(sim: &mut Sim, ms: u64, count: usize) -> bool {
+    let before = sim.model.accepted.len();
+    sim.run_ms(ms, |sim| sim.model.accepted.len() >= before + count)
+}
+
+fn is_voter(sim: &Sim, id: KeeperId) -> bool {
+    let incarnation = sim.nodes[&id].incarnation;
+    sim.model.members().is_voter(id, incarnation)
+}
+
 #[test]
 fn three_keepers_found_a_cluster_and_commit() {
     let mut sim = founded(1);
-    assert!(sim.run_ms(2_000, |sim| sim.model.accepted.len() > 100));
+    assert!(accepts_more(&mut sim, 2_000, 100));
     assert_eq!(sim.model.members().voters().count(), 3);
 }
 
 #[test]
 fn a_leader_that_dies_is_replaced_in_time() {
-    for seed in 0..40 {
+    let mut took_ms = Vec::new();
+    for seed in 0..200 {
         let mut sim = founded(seed);
-        sim.run_ms(500, |_| false);
-        let dead = sim.leader().expect("there is a leader");
+        let dead = leader(&sim);
         sim.crash(dead);
-        let before = sim.model.accepted.len();
-        let replaced = sim.run_ms(TAKE_OVER_MS, |sim| sim.model.accepted.len() > before);
-        assert!(replaced, "seed {seed}");
+        let died_us = sim.now_us;
+        assert!(accepts_more(&mut sim, TAKE_OVER_MS, 1), "seed {seed}");
+        took_ms.push((sim.now_us - died_us) / 1_000);
+    }
+    took_ms.sort_unstable();
+    println!("median {} ms, longest {} ms", took_ms[100], took_ms[199]);
+}
+
+#[test]
+fn a_leader_that_is_cut_off_steps_down_and_follows_later() {
+    for (seed, inwards, outwards) in [(1, true, true), (2, true, false), (3, false, true)] {
+        let mut sim = founded(seed);
+        let cut = leader(&sim);
+        sim.cut_off(cut, inwards, outwards);
+        let replaced = |sim: &Sim| {
+            let leaders = sim.ids().into_iter().filter_map(|id| sim.status(id));
+            let serving: Vec<_> = leaders.filter(|status| status.serving).collect();
+            serving.len() == 1 && serving[0].leader != Some(cut)
+        };
+        assert!(sim.run_ms(3_000, replaced), "seed {seed}");
+        sim.run_ms(60_000, |_| false);
+        let term = sim.status(leader(&sim)).expect("it is up").term;
+        sim.network.cut.clear();
+        let follows = |sim: &Sim| {
+            sim.status(cut)
+                .is_some_and(|status| status.leader.is_some())
+        };
+        assert!(sim.run_ms(2_000, follows));
+        let after = sim.status(leader(&sim)).expect("it is up").term;
+        assert_eq!(after, term, "its return disturbs nobody");
+        let last = LogIndex(sim.model.committed.len() as u64);
+        assert!(sim.run_ms(3_000, |sim| sim.nodes[&cut].applied >= last));
     }
 }
+
+#[test]
+fn a_second_disk_may_be_lost_right_after_a_repair() {
+    for seed in 0..20 {
+        let mut sim = founded(seed);
+        let first = KeeperId(1 + seed % 3);
+        let second = KeeperId(1 + (seed + 1) % 3);
+        for lost in [first, second] {
+            assert_eq!(sim.lose_disk(lost), "lose disk");
+            let repaired = sim.run_ms(REPAIR_MS, |sim| is_voter(sim, lost));
+            assert!(repaired, "seed {seed}\n{}", sim.describe());
+        }
+        assert!(accepts_more(&mut sim, TAKE_OVER_MS, 10), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_lost_majority_is_never_made_up() {
+    let mut sim = founded(4);
+    let before = sim.model.committed.len();
+    for id in [KeeperId(1), KeeperId(2)] {
+        sim.replace_disk(id);
+    }
+    sim.run_ms(2_000, |_| false);
+    let stopped = sim.model.committed.len();
+    sim.run_ms(30_000, |_| false);
+    assert!(sim.leader().is_none());
+    assert!(stopped < before + 10);
+    assert_eq!(sim.model.committed.len(), stopped);
+}
+
+#[test]
+fn a_keeper_returns_after_hundreds_of_entries() {
+    let mut sim = founded(5);
+    let away = sim.ids().into_iter().find(|id| *id != leader(&sim));
+    let away = away.expect("there are followers");
+    sim.crash(away);
+    assert!(accepts_more(&mut sim, 30_000, 800));
+    sim.start(away);
+    let last = LogIndex(sim.model.committed.len() as u64);
+    assert!(sim.run_ms(2_000, |sim| sim.nodes[&away].applied >= last));
+    let status = sim.status(away).expect("it is up");
+    assert!(
+        status.last.since(status.snapshot) < 200,
+        "the log is bounded"
+    );
+}
+
+#[test]
+fn leadership_is_handed_over_without_a_timeout() {
+    let mut sim = founded(6);
+    let old = leader(&sim);
+    sim.feed(old, Event::TransferLeadership { to: None });
+    let handed = |sim: &Sim| sim.leader().is_some_and(|leader| leader != old);
+    assert!(sim.run_ms(150, handed), "sooner than any election timeout");
+    assert!(accepts_more(&mut sim, 200, 1));
+}
+
+#[test]
+fn an_added_keeper_votes_once_it_has_caught_up_and_may_be_removed() {
+    let mut sim = Sim::new(7, 3, 1);
+    let added = KeeperId(4);
+    assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()));
+    assert!(accepts_more(&mut sim, 10_000, 500));
+    let token = sim.next_token();
+    let change = MemberChange::Add(added);
+    sim.feed(leader(&sim), Event::ChangeMembers { token, change });
+    assert!(sim.run_ms(3_000, |sim| is_voter(sim, added)));
+    assert!(sim.nodes[&added].applied.0 > 400);
+    let token = sim.next_token();
+    let change = MemberChange::Remove(leader(&sim));
+    sim.feed(leader(&sim), Event::ChangeMembers { token, change });
+    assert!(sim.run_ms(3_000, |sim| sim.model.members().voters().count() == 3));
+    assert!(accepts_more(&mut sim, TAKE_OVER_MS, 10));
+}
--- a/crates/hemlock_quorum/tests/sim/nemesis.rs
+++ b/crates/hemlock_quorum/tests/sim/nemesis.rs
@@ -183,6 +183,12 @@
         if !self.may_lose_disk() {
             return "lose disk refused";
         }
+        self.replace_disk(id);
+        "lose disk"
+    }
+
+    /// A keeper crashes and comes back on an empty disk.
+    pub(crate) fn replace_disk(&mut self, id: KeeperId) {
         self.crash(id);
         let incarnation = self.draw_incarnation();
         let node = self.nodes.get_mut(&id).expect("known");
@@ -190,7 +196,6 @@
         node.disk = MemoryStorage::new(incarnation);
         let after_us = self.rng.random_range(1_000..500_000);
         self.schedule(after_us, Happening::Restart(id));
-        "lose disk"
     }
 
     /// Up to three changes at once, as racing operators send them.
