--- a/crates/hemlock_ledger/tests/differential.rs
+++ b/crates/hemlock_ledger/tests/differential.rs
@@ -274,7 +274,7 @@
     let mut model = Model::default();
     let mut living = Living((0..3).map(Incarnation).collect());
     let mut now_ms = 0;
-    steps.iter().all(|step| {
+    let agreed = steps.iter().all(|step| {
         ledger.expire(now_ms, usize::MAX);
         model.forget(now_ms);
         let same = match step {
@@ -324,7 +324,8 @@
             }
         };
         same && ledger.len() == model.records.len() && ledger.answer_bytes() == model.answer_bytes()
-    })
+    });
+    agreed && Ledger::from(ledger.snapshot()) == ledger
 }
 
 #[test]
