--- a/crates/hemlock_keeper/tests/common/mod.rs
+++ b/crates/hemlock_keeper/tests/common/mod.rs
@@ -80,6 +80,17 @@
         self.keepers[index].take().unwrap().stop().unwrap();
     }
 
+    /// Adds the address and folder of one more keeper, and starts it. It is not a member yet.
+    pub fn start_newcomer(&mut self) -> KeeperAddress {
+        let mut newcomer = free_addresses(1)[0];
+        newcomer.id = self.addresses.len() as u64 + 1;
+        self.addresses.push(newcomer);
+        self.folders.push(TempDir::new().unwrap());
+        self.keepers.push(None);
+        self.start_keeper(self.addresses.len() - 1);
+        newcomer
+    }
+
     /// Gives the keeper a new, empty disk.
     pub fn replace_disk(&mut self, index: usize) {
         self.folders[index] = TempDir::new().unwrap();
--- a/crates/hemlock_keeper/tests/failures.rs
+++ b/crates/hemlock_keeper/tests/failures.rs
@@ -109,3 +109,45 @@
     assert_eq!(status, 200);
     assert_eq!(body["contract"]["revision"], 30);
 }
+
+/// Ids of the members that vote, as the leader sees them.
+fn voters(cluster: &Cluster) -> Vec<u64> {
+    let status = cluster.status(cluster.leader());
+    let members = status["members"].as_array().expect("members").iter();
+    members
+        .filter(|member| member["kind"] == "voter")
+        .filter_map(|member| member["id"].as_u64())
+        .collect()
+}
+
+#[test]
+fn a_keeper_is_added_and_another_taken_out() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    assert_eq!(cluster.put(leader, "sablah", 1, 10).0, 200);
+    let newcomer = cluster.start_newcomer();
+    let body = format!(
+        r#"{{"id":{},"address":"{}"}}"#,
+        newcomer.id, newcomer.address
+    );
+    wait_for("the newcomer to be taken in", || {
+        let (status, _) = cluster.call(0, Method::Post, "/v1/keepers", &body);
+        (status == 200).then_some(())
+    });
+    wait_for("the newcomer's vote", || {
+        (voters(&cluster) == [1, 2, 3, 4]).then_some(())
+    });
+    let (leader, gone) = (cluster.leader(), (cluster.leader() + 1) % 3);
+    let path = format!("/v1/keepers/{}", gone + 1);
+    let (status, body) = cluster.call(leader, Method::Delete, &path, "");
+    assert_eq!(status, 200, "{body}");
+    wait_for("three voters", || {
+        (voters(&cluster).len() == 3).then_some(())
+    });
+    cluster.kill(gone);
+    cluster.kill(leader);
+    let next = cluster.leader();
+    let (_, held) = cluster.call(next, Method::Get, "/v1/contracts/sablah", "");
+    assert_eq!(held["contract"]["revision"], 1);
+    assert_eq!(cluster.put(next, "sablah", 2, 10).0, 200);
+}
