Refuse a bad operator's call without a leader, and a good one within 5 s

Cause: without a quorum an operator waited 20 s to learn that the body was wrong. Change: the keeper that takes the call reads it first; calls that don't wait for a change to be in force are given up after 5 s, longer than an election. Tests: bad calls get 400 and good ones 503 without a quorum, and the resend is accepted after it is back; another cluster's disk, a folder that can't be made and a folder in use are refused by name.

--- a/crates/hemlock_keeper/src/core/calls.rs
+++ b/crates/hemlock_keeper/src/core/calls.rs
@@ -14,9 +14,11 @@
 /// How long an operator waits at most until a change is in force: longer than any entry can hold
 /// an older configuration.
 pub(super) const IN_FORCE_WAIT: DurationMs = DurationMs::new(15_000);
-/// How long a call is passed on before it is refused.
-const CALL_TIMEOUT: DurationMs = DurationMs::new(20_000);
-/// How long one try to pass a call on may take when it doesn't wait for entries.
+/// How long a call is passed on before it is refused: longer than an election.
+const CALL_TIMEOUT: DurationMs = DurationMs::new(5_000);
+/// The same for a call that waits until a change is in force.
+const WAITING_CALL_TIMEOUT: DurationMs = DurationMs::new(20_000);
+/// Pause before a call that met no leader is tried again.
 const RETRY: DurationMs = DurationMs::new(50);
 
 /// A call that came to this keeper, until it is answered.
@@ -39,10 +41,23 @@
 }
 
 impl KeeperCore {
-    /// Takes a call that came to this keeper.
-    pub(super) fn take_call(&mut self, now: Instant, token: ReplyToken, call: OperatorCall) {
+    /// Takes a call that came to this keeper. One that can't be understood is refused at once,
+    /// whether or not there is a leader.
+    pub(super) fn take_call(
+        &mut self,
+        now: Instant,
+        token: ReplyToken,
+        call: OperatorCall,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let timeout = match OperatorRequest::read(&call) {
+            _ if is_status(&call) => CALL_TIMEOUT,
+            Ok(request) if request.waits_in_force() => WAITING_CALL_TIMEOUT,
+            Ok(_) => CALL_TIMEOUT,
+            Err(refusal) => return self.reply(now, token, *refusal, out),
+        };
         let step = CallStep::Due(now);
-        let until = now + CALL_TIMEOUT;
+        let until = now + timeout;
         self.calls.insert(token, EdgeCall { call, until, step });
     }
 
--- a/crates/hemlock_keeper/src/core/mod.rs
+++ b/crates/hemlock_keeper/src/core/mod.rs
@@ -164,7 +164,7 @@
             KeeperEvent::Request { token, request } => {
                 self.take_request(now, token, request, inputs, out);
             }
-            KeeperEvent::Operator { token, call } => self.take_call(now, token, call),
+            KeeperEvent::Operator { token, call } => self.take_call(now, token, call, out),
             KeeperEvent::Forwarded { token, reply } => self.take_forwarded(now, token, reply, out),
             KeeperEvent::Drain => self.begin_drain(now, inputs),
         }
--- a/crates/hemlock_keeper/src/core/operator.rs
+++ b/crates/hemlock_keeper/src/core/operator.rs
@@ -82,6 +82,11 @@
 }
 
 impl OperatorRequest {
+    /// Whether the answer waits until a change is in force everywhere.
+    pub(crate) fn waits_in_force(&self) -> bool {
+        matches!(self, Self::Change { change, .. } if change.wait_in_force)
+    }
+
     /// Reads a call.
     ///
     /// # Errors
--- a/crates/hemlock_keeper/tests/cluster.rs
+++ b/crates/hemlock_keeper/tests/cluster.rs
@@ -4,6 +4,7 @@
 
 use common::Cluster;
 use hemlock_http::prelude::{HttpCall, HttpClient, HttpClientConfig, Method};
+use hemlock_keeper::Keeper;
 
 #[test]
 fn any_keeper_takes_an_operators_call() {
@@ -61,3 +62,49 @@
     );
     assert_eq!(status, 400);
 }
+
+#[test]
+fn a_folder_that_is_no_disk_of_this_keeper_is_refused() {
+    let mut cluster = Cluster::start(1);
+    cluster.leader();
+    cluster.stop(0);
+    let own = cluster.settings(0);
+    let mut other_cluster = own.clone();
+    other_cluster.cluster = "other".to_owned();
+    let mut no_folder = own.clone();
+    no_folder.data_folder = own.data_folder.join("lock").join("inside-a-file");
+    for (settings, named) in [(other_cluster, "cluster"), (no_folder, "data folder")] {
+        let refused = Keeper::start(settings)
+            .err()
+            .expect("the folder is refused");
+        assert!(refused.to_string().contains(named), "{refused}");
+    }
+    let taken = Keeper::start(own.clone()).expect("its own folder is fine");
+    let mut second = own;
+    second.wire_address = "127.0.0.1:0".parse().expect("an address");
+    let refused = Keeper::start(second).err().expect("the folder is in use");
+    assert!(refused.to_string().contains("another process"), "{refused}");
+    taken.kill();
+}
+
+#[test]
+fn without_a_quorum_a_bad_call_is_refused_at_once_and_a_good_one_in_time() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    let (one, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.kill(one);
+    cluster.kill(other);
+    let (status, _) = cluster.call(leader, Method::Put, "/v1/contracts/sablah", "{}");
+    assert_eq!(status, 400);
+    let (status, body) = cluster.put(leader, "sablah", 1, 10);
+    assert_eq!(
+        (status, &body["error"]),
+        (503, &"no-quorum".into()),
+        "{body}"
+    );
+    // The change may still be accepted later; a resend tells.
+    cluster.start_keeper(one);
+    cluster.start_keeper(other);
+    let leader = cluster.leader();
+    assert_eq!(cluster.put(leader, "sablah", 1, 10).0, 200);
+}
