Let a keeper campaign by the earlier set after a restart too

Cause: a restarted keeper doesn't know what was committed, so the check against the committed set failed where the log's base states none. Change: the keeper goes by the set before an uncommitted one; a test brings the case about. Conclusion: the set recovers from a change and a lost disk together, restarts included.

--- a/crates/hemlock_quorum/src/log.rs
+++ b/crates/hemlock_quorum/src/log.rs
@@ -78,6 +78,12 @@
         self.latest_members().0
     }
 
+    /// The keeper set before the present one, if the log still states it.
+    pub(crate) fn earlier_members(&self) -> Option<&MemberSet> {
+        let position = self.members.len().checked_sub(2)?;
+        self.members.get(position).map(|(_, set)| set)
+    }
+
     fn latest_members(&self) -> &(LogIndex, MemberSet) {
         self.members
             .back()
--- a/crates/hemlock_quorum/src/quorum/election.rs
+++ b/crates/hemlock_quorum/src/quorum/election.rs
@@ -41,8 +41,10 @@
     /// Whether this keeper votes, or did before a change that is not known to be committed. In the
     /// latter case its log may be the only one that can win, though its own vote doesn't count.
     fn may_campaign(&self) -> bool {
-        let committed = self.log.members_at(self.commit);
-        self.is_voter() || committed.is_voter(self.config.me, self.config.incarnation)
+        let (me, disk) = (self.config.me, self.config.incarnation);
+        let uncommitted = self.log.members_index() > self.commit;
+        let earlier = self.log.earlier_members().filter(|_| uncommitted);
+        self.is_voter() || earlier.is_some_and(|members| members.is_voter(me, disk))
     }
 
     fn start_campaign(&mut self, transfer: bool) {
--- a/crates/hemlock_quorum/tests/cluster.rs
+++ b/crates/hemlock_quorum/tests/cluster.rs
@@ -155,3 +155,24 @@
     assert!(sim.run_ms(3_000, |sim| sim.model.members().voters().count() == 3));
     assert!(accepts_more(&mut sim, TAKE_OVER_MS, 10));
 }
+
+#[test]
+fn a_keeper_that_only_its_own_log_takes_out_still_leads_the_others_back() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(seed, 4, 0);
+        assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()));
+        let removed = leader(&sim);
+        let lost = KeeperId(removed.0 % 4 + 1);
+        sim.cut_off(removed, false, true);
+        let token = sim.next_token();
+        let change = MemberChange::Remove(removed);
+        sim.feed(removed, Event::ChangeMembers { token, change });
+        sim.run_ms(50, |_| false);
+        sim.crash(removed);
+        sim.replace_disk(lost);
+        sim.network.cut.clear();
+        sim.start(removed);
+        let repaired = sim.run_ms(REPAIR_MS, |sim| is_voter(sim, lost));
+        assert!(repaired, "seed {seed}\n{}", sim.describe());
+    }
+}
