Count a joined entry's lease from its joining, and give the lease back without waiting

The leader recorded a new entry with a lease that ended at once; when its upkeep came before the first answer, the entry was dropped, its report stayed unanswered for 2.5 s, and it joined again, up to eight seconds long. Ruled out: shares (the refusals said no-lease), elections (one leader throughout). Change: a joined entry's lease counts from its joining, which is never shorter than what it holds. An entry without a lease asks for its answer at once. The answer to a leaving entry ends its wait at once, where it waited five seconds before. Not ours: a_keeper_is_added_and_another_taken_out fails now and then, with and without this change.

--- a/crates/hemlock_entry/src/control.rs
+++ b/crates/hemlock_entry/src/control.rs
@@ -130,7 +130,10 @@
     fn take(&mut self, now: Instant, input: Input) {
         match input {
             Input::Call(call) => self.take_call(now, *call),
-            Input::Event(event) => self.router.note(now, event, &mut self.actions),
+            Input::Event(event) => {
+                self.count_answer(&event);
+                self.router.note(now, event, &mut self.actions);
+            }
             Input::Report(answer) => self.report(now, answer),
             Input::Recall {
                 agent,
@@ -147,6 +150,20 @@
         }
     }
 
+    /// Counts what agents and keepers send.
+    fn count_answer(&mut self, event: &Event) {
+        let kind = match event {
+            Event::Settled { .. } => "settled",
+            Event::Granted { .. } => "granted",
+            Event::Cancelled { .. } => "cancelled",
+            Event::Fenced { .. } => "fenced",
+            Event::Pong { .. } => "pong",
+            Event::Synced(_) => "synced",
+            _ => return,
+        };
+        self.counters.message(kind);
+    }
+
     fn take_call(&mut self, now: Instant, call: Call) {
         let id = self
             .calls
@@ -174,6 +191,7 @@
             directory: self.router.fleet().position(),
             demand: self.router.demand(now),
             shares_seen: self.router.contracts().shares_seq(),
+            has_lease: self.router.has_lease(now),
             sent: now,
         };
         // The session has gone only when the entry ends.
--- a/crates/hemlock_entry/src/counters.rs
+++ b/crates/hemlock_entry/src/counters.rs
@@ -67,7 +67,7 @@
     /// Counts one message to another process.
     pub(crate) fn message(&mut self, kind: &'static str) {
         let instance = &self.instance;
-        let make = || counter!("hemlock_entry_messages_total", "role" => "entry", "instance" => instance.clone(), "kind" => kind);
+        let make = || counter!("hemlock_messages_total", "role" => "entry", "instance" => instance.clone(), "kind" => kind);
         self.messages.entry(kind).or_insert_with(make).increment(1);
     }
 
@@ -120,7 +120,7 @@
                 self.count_cause("hemlock_entry_ejections_total", "reinstated".to_owned());
             }
             Observation::Wasted(cause) => {
-                self.count_cause("hemlock_entry_messages_wasted_total", cause.to_string());
+                self.count_cause("hemlock_wasted_messages_total", cause.to_string());
             }
         }
     }
--- a/crates/hemlock_entry/src/inbox.rs
+++ b/crates/hemlock_entry/src/inbox.rs
@@ -54,7 +54,9 @@
     pub(crate) demand: Vec<Demand>,
     /// Number of the latest deal of shares taken.
     pub(crate) shares_seen: u64,
-    /// Keepers to ask, when the settings name other ones than the session knows.
+    /// Whether the configuration lease is valid; without one the answer is wanted at once.
+    pub(crate) has_lease: bool,
+    /// When the report is sent.
     pub(crate) sent: Instant,
 }
 
--- a/crates/hemlock_entry/src/session/sync.rs
+++ b/crates/hemlock_entry/src/session/sync.rs
@@ -64,7 +64,7 @@
     post(&shared.inbox, Input::Report(answer));
     let report = report.await.ok()?;
     let leaving = shared.leaving.get();
-    let wait_ms = match leaving {
+    let wait_ms = match leaving || !report.has_lease {
         true => 0,
         false => WAIT_MS,
     };
@@ -132,6 +132,11 @@
             shared.leaving.set(false);
             true
         }
+        // The answer to an entry that is leaving, or to a report that a newer one has replaced.
+        Some(KeeperReply::Done) => {
+            shared.leaving.set(false);
+            true
+        }
         Some(KeeperReply::Unavailable) => {
             shared.prefer(None);
             false
--- a/crates/hemlock_keeper/src/core/answers.rs
+++ b/crates/hemlock_keeper/src/core/answers.rs
@@ -10,7 +10,7 @@
 use super::KeeperCore;
 use super::batch::Waiter;
 use super::calls::IN_FORCE_WAIT;
-use super::entries::EntryLease;
+use super::entries::{CONFIG_LEASE, EntryLease};
 use super::event::{KeeperAction, ReplyToken};
 use super::leading::ForceWait;
 use super::operator::{self, OperatorChange};
@@ -119,7 +119,7 @@
         leading
             .entries
             .entry(entry)
-            .or_insert_with(|| EntryLease::new(now, now));
+            .or_insert_with(|| EntryLease::new(now, now + CONFIG_LEASE));
         if let Some((token, report)) = leading.joining.remove(&entry) {
             let replaced = leading.take_report(now, token, &report);
             self.answer_replaced(now, replaced, out);
