--- a/crates/hemlock_agent/tests/agent.rs
+++ b/crates/hemlock_agent/tests/agent.rs
@@ -1,5 +1,6 @@
 //! A real agent beside a stand-in endpoint, driven by a fake entry over loopback.
 
+#[allow(dead_code, reason = "each test file uses a part")]
 mod common;
 
 use common::*;
--- a/crates/hemlock_agent/tests/common/mod.rs
+++ b/crates/hemlock_agent/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! An agent, a stand-in endpoint, and a fake entry that speaks to the agent over the wire.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +54,17 @@
     SubmissionId::derive(&"shelter".into(), name)
 }
 
+/// A member of the agent's cluster.
+pub(crate) fn identity(role: Role) -> Identity {
+    Identity {
+        role,
+        incarnation: Incarnation(rand::random()),
+        id: 0,
+        cluster: "test".to_owned(),
+        key: ClusterKey::new(SECRET),
+    }
+}
+
 /// A start for `agent`; `submission` names its submission, if any.
 pub(crate) fn spec(agent: Incarnation, request: u64, submission: Option<SubmissionId>) -> TaskSpec {
     TaskSpec {
@@ -80,15 +91,24 @@
 
 /// What the agent pushed to the fake entry.
 #[derive(Default)]
-pub(crate) struct Pushed(RefCell<Vec<EntryRequest>>);
+pub(crate) struct Pushed {
+    requests: RefCell<Vec<EntryRequest>>,
+    silent: Cell<bool>,
+    credits: Cell<u16>,
+}
 
 impl Pushed {
     pub(crate) fn has(&self, request: EntryRequest) -> bool {
-        self.0.borrow().contains(&request)
+        self.requests.borrow().contains(&request)
+    }
+
+    /// Answers nothing from now on.
+    pub(crate) fn fall_silent(&self) {
+        self.silent.set(true);
     }
 
     pub(crate) fn granted(&self) -> u16 {
-        let grants = self.0.borrow();
+        let grants = self.requests.borrow();
         grants
             .iter()
             .map(|request| match request {
@@ -106,10 +126,22 @@
         frame: Bytes,
     ) -> LocalBoxFuture<'static, Result<Bytes, ServiceError>> {
         let request: EntryRequest = decode(&frame).expect("a push");
-        self.0.borrow_mut().push(request);
+        self.requests.borrow_mut().push(request);
+        if self.silent.get() {
+            return futures::future::pending().boxed_local();
+        }
+        let credits = self.credits.get();
         let reply = match request {
-            EntryRequest::Recall { .. } => EntryReply::Returned { slots: 0 },
-            _ => EntryReply::Done,
+            EntryRequest::Grant { slots } => {
+                self.credits.set(credits + slots);
+                EntryReply::Done
+            }
+            EntryRequest::Recall { slots } => {
+                let slots = slots.min(credits);
+                self.credits.set(credits - slots);
+                EntryReply::Returned { slots }
+            }
+            EntryRequest::Leaving | EntryRequest::Ping => EntryReply::Done,
         };
         let frame = encode(&reply).map_err(ServiceError::from);
         futures::future::ready(frame).boxed_local()
@@ -124,13 +156,7 @@
 
 impl FakeEntry {
     pub(crate) async fn connect(address: SocketAddr) -> Self {
-        let identity = Rc::new(Identity {
-            role: Role::Entry,
-            incarnation: Incarnation(rand::random()),
-            id: 0,
-            cluster: "test".to_owned(),
-            key: ClusterKey::new(SECRET),
-        });
+        let identity = Rc::new(identity(Role::Entry));
         let pushed = Rc::new(Pushed::default());
         let service = Rc::clone(&pushed);
         let connection = connect(address, identity, service, DurationMs::new(5_000))
