Give up no entry whose report waits, and let a leaving entry go

Cause: a keeper gave up entries whose lease had run out while their report waited for its answer, and the answer then leased them all the same. Apart from that, an entry took Done to a replaced report for the answer to its leaving. Change: an entry whose report waits is not given up, and the core asserts that one given up gets no new lease. Only Done to the leaving report itself ends the entry's session, and nothing is reported after it.

--- a/crates/hemlock_entry/src/session/client.rs
+++ b/crates/hemlock_entry/src/session/client.rs
@@ -47,6 +47,8 @@
     pub(super) sync_soon: Notify,
     /// The entry gives its lease back with its next report.
     pub(super) leaving: Cell<bool>,
+    /// A keeper has taken the lease back; nothing more is reported, which would take a new one.
+    pub(super) left: Cell<bool>,
 }
 
 impl Shared {
@@ -117,6 +119,7 @@
                 ends_waiting: Notify::new(),
                 sync_soon: Notify::new(),
                 leaving: Cell::new(false),
+                left: Cell::new(false),
             }),
         }
     }
@@ -169,7 +172,7 @@
             }
             shared.leaving.set(true);
             shared.sync_soon.notify_one();
-            while shared.leaving.get() {
+            while !shared.left.get() {
                 tokio::time::sleep(Duration::from_millis(LEAVE_LOOK_MS)).await;
             }
         };
--- a/crates/hemlock_entry/src/session/sync.rs
+++ b/crates/hemlock_entry/src/session/sync.rs
@@ -60,6 +60,9 @@
 }
 
 async fn next_report(shared: &Shared) -> Option<(Instant, KeeperRequest)> {
+    if shared.left.get() {
+        return None;
+    }
     let (answer, report) = oneshot::channel();
     post(&shared.inbox, Input::Report(answer));
     let report = report.await.ok()?;
@@ -93,6 +96,10 @@
             tokio::time::sleep(Duration::from_millis(REPORT_PAUSE_MS)).await;
             Some(KeeperReply::Unavailable)
         }
+        Ok(Ok(KeeperReply::Done)) if is_leaving(request) => {
+            shared.left.set(true);
+            Some(KeeperReply::Done)
+        }
         Ok(Ok(reply)) => Some(reply),
         Ok(Err(_)) | Err(_) => {
             shared.prefer(None);
@@ -101,6 +108,10 @@
     }
 }
 
+fn is_leaving(request: &KeeperRequest) -> bool {
+    matches!(request, KeeperRequest::EntrySync(report) if report.leaving)
+}
+
 /// Passes the news on; `false` when another keeper has to be asked.
 async fn take_answer(
     shared: &Shared,
@@ -129,14 +140,10 @@
                 cancelled,
             };
             post_event(&shared.inbox, Event::Synced(Box::new(news)));
-            shared.leaving.set(false);
             true
         }
         // The answer to an entry that is leaving, or to a report that a newer one has replaced.
-        Some(KeeperReply::Done) => {
-            shared.leaving.set(false);
-            true
-        }
+        Some(KeeperReply::Done) => true,
         Some(KeeperReply::Unavailable) => {
             shared.prefer(None);
             false
--- a/crates/hemlock_keeper/src/core/leading.rs
+++ b/crates/hemlock_keeper/src/core/leading.rs
@@ -167,11 +167,12 @@
             .all(|entry| entry.is_past(now, version))
     }
 
-    /// Entries whose lease has run out and whose end isn't proposed yet; marks them.
+    /// Entries whose lease has run out and whose end isn't proposed yet; marks them. One whose
+    /// report waits for an answer stays, for the answer is to renew its lease.
     pub(crate) fn take_expired(&mut self, now: Instant) -> Vec<Incarnation> {
         let mut expired = Vec::new();
         for (id, entry) in &mut self.entries {
-            if entry.lease_until <= now && !entry.going {
+            if entry.lease_until <= now && entry.parked.is_none() && !entry.going {
                 entry.going = true;
                 expired.push(*id);
             }
--- a/crates/hemlock_keeper/src/core/serving.rs
+++ b/crates/hemlock_keeper/src/core/serving.rs
@@ -90,6 +90,7 @@
         let Some(parked) = entry.parked.take() else {
             return;
         };
+        assert!(!entry.going, "an entry that is given up gets no new lease");
         entry.renew(now);
         let cancelled = entry.take_cancellations();
         let (held_config, entry) = (entry.config, entry.clone());
