--- a/bins/hemlock/src/commands/demo.rs
+++ b/bins/hemlock/src/commands/demo.rs
@@ -14,6 +14,7 @@
   --jobs N   submissions to send (default 240)
   --seed S   seed of the work (default 1)
   --quick    shorter and fewer tasks
+  --log F    write the roles' log lines that pass filter F to standard error, such as info
   --help     show this help
 
 The last line is one JSON object, counted from what the stand-in endpoints and the callers
@@ -29,6 +30,7 @@
         match argument {
             Long("jobs") => jobs = Some(parse_number("--jobs", &parser.value()?.string()?)?),
             Long("seed") => options.seed = parse_number("--seed", &parser.value()?.string()?)?,
+            Long("log") => options.log = Some(parser.value()?.string()?),
             Long("quick") => options.quick = true,
             Short('h') | Long("help") => {
                 print!("{HELP}");
--- a/bins/hemlock/src/demo/caller.rs
+++ b/bins/hemlock/src/demo/caller.rs
@@ -25,6 +25,19 @@
     Lost(String),
 }
 
+impl Seen {
+    /// What became of it and why, unless it is complete.
+    pub(crate) fn reason(&self) -> Option<String> {
+        match self {
+            Self::Complete(_) => None,
+            Self::Partial(reason) => Some(format!("partial: {reason}")),
+            Self::Failed(reason) => Some(format!("failed: {reason}")),
+            Self::NotRun(reason) => Some(format!("not run: {reason}")),
+            Self::Lost(reason) => Some(format!("lost: {reason}")),
+        }
+    }
+}
+
 /// Sends a submission to an entry and waits for its answer.
 pub(crate) fn send(client: &HttpClient, submission: &Submission, entry: SocketAddr) -> Seen {
     let key = submission.customer.key;
--- a/bins/hemlock/src/demo/cluster.rs
+++ b/bins/hemlock/src/demo/cluster.rs
@@ -149,18 +149,23 @@
         for entry in self.entries {
             entry.join();
         }
+        narrator.say("both entries have drained and ended");
         let pairs = self
             .pairs
             .into_inner()
             .unwrap_or_else(PoisonError::into_inner);
         let sightings = pairs.into_iter().map(end_pair).collect();
+        narrator.say("every agent has drained and ended, and its endpoint after it");
+        for keeper in &self.keepers {
+            keeper.begin_drain();
+        }
         for keeper in self.keepers {
             keeper
                 .stop()
                 .map_err(|error| role_error("a keeper", &error))?;
         }
         self.folder.close()?;
-        narrator.say("every role has drained and ended, every thread is joined");
+        narrator.say("every keeper has ended, every thread is joined");
         Ok(sightings)
     }
 
--- a/bins/hemlock/src/demo/mod.rs
+++ b/bins/hemlock/src/demo/mod.rs
@@ -8,6 +8,7 @@
 mod say;
 mod script;
 
+use hemlock_telemetry::prelude::*;
 use quick_error::quick_error;
 
 pub(crate) use report::Report;
@@ -31,6 +32,8 @@
     pub(crate) seed: u64,
     /// Shorter and fewer tasks.
     pub(crate) quick: bool,
+    /// Which log lines the roles write to standard error; none without it.
+    pub(crate) log: Option<String>,
 }
 
 quick_error! {
@@ -48,6 +51,12 @@
         Role(name: String, message: String) {
             display("{name} did not start: {message}")
         }
+        /// Logs can't be written.
+        Log(source: TelemetryError) {
+            from()
+            display("{source}")
+            source(source)
+        }
         /// The cluster was not ready in time.
         NotReady(what: String, waited_ms: u64) {
             display("{what} was not ready within {waited_ms} ms")
@@ -61,10 +70,15 @@
 
 /// Runs the demonstration and says in plain lines what it does.
 pub(crate) fn run(options: &DemoOptions) -> Result<Report, DemoError> {
+    if let Some(filter) = &options.log {
+        hemlock_telemetry::start(&TelemetryConfig::default().with_log_filter(filter))?;
+    }
     let narrator = Narrator::start();
     let plan = Plan::draw(options);
     let cluster = Cluster::start(options.seed, &narrator)?;
     let result = script::play(&plan, &cluster, &narrator);
     let sightings = cluster.stop(&narrator)?;
-    Ok(Report::count(&plan, &result?, &sightings))
+    let played = result?;
+    played.say_reasons(&plan, &narrator);
+    Ok(Report::count(&plan, &played, &sightings))
 }
--- a/bins/hemlock/src/demo/script.rs
+++ b/bins/hemlock/src/demo/script.rs
@@ -1,5 +1,6 @@
 //! What happens in the demonstration, and when.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
@@ -42,6 +43,27 @@
     pub(crate) late_starts: u64,
 }
 
+impl Played {
+    /// Says why submissions have no whole answer, and which were answered otherwise when sent
+    /// again.
+    pub(crate) fn say_reasons(&self, plan: &Plan, narrator: &Narrator) {
+        let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
+        for answers in &self.answers {
+            for answer in answers.iter().filter_map(Seen::reason) {
+                *reasons.entry(answer).or_default() += 1;
+            }
+        }
+        for (reason, count) in reasons {
+            narrator.say(&format!("{count} x {reason}"));
+        }
+        for (submission, answers) in plan.submissions.iter().zip(&self.answers) {
+            if answers.windows(2).any(|pair| pair[0] != pair[1]) {
+                narrator.say(&format!("{}: {answers:?}", submission.name));
+            }
+        }
+    }
+}
+
 /// Plays the whole script.
 pub(crate) fn play(
     plan: &Plan,
--- a/crates/hemlock_settings/src/fault.rs
+++ b/crates/hemlock_settings/src/fault.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use hemlock_contract::prelude::FaultKind;
 use quick_error::quick_error;
 
 quick_error! {
@@ -103,6 +104,10 @@
         Duplicate {
             display("stands twice; remove one or change it")
         }
+        /// A contract's own check refuses it.
+        Contract(kind: FaultKind) {
+            display("{kind}")
+        }
         /// It does not agree with another field.
         Conflict(advice: &'static str) {
             display("{advice}")
--- a/crates/hemlock_settings/tests/faults.rs
+++ b/crates/hemlock_settings/tests/faults.rs
@@ -92,7 +92,10 @@
             .any(|fault| fault.contains("keepers[1].id: stands twice"))
     );
     let long = format!("{CONTRACT}deadline_ms: 70000\n");
-    assert!(faults_of::<Contract>(&long)[0].starts_with("line 11: deadline_ms: longer"));
+    assert!(
+        faults_of::<Contract>(&long)[0]
+            .starts_with("line 11: deadline_ms: must not exceed deadline_cap_ms")
+    );
     let unlisted = with(
         CONTRACT,
         "- service: loovutus-portaal",
