--- a/crates/hemlock_entry/src/entry.rs
+++ b/crates/hemlock_entry/src/entry.rs
@@ -32,6 +32,7 @@
     /// When the settings name an unknown policy, the HTTP address can't be served, or a thread
     /// can't be made.
     pub fn start(settings: EntrySettings) -> Result<EntryHandle, EntryError> {
+        check_chart()?;
         let incarnation = Incarnation(rand::random());
         let clock = SystemClock::start();
         let placement = placement_named(&settings.policy)?;
--- a/crates/hemlock_entry/src/error.rs
+++ b/crates/hemlock_entry/src/error.rs
@@ -1,5 +1,6 @@
 //! Why an entry can't start.
 
+use hemlock_chart::ChartError;
 use hemlock_http::prelude::HttpError;
 use hemlock_router::prelude::UnknownPolicy;
 use quick_error::quick_error;
@@ -20,6 +21,12 @@
             source(source)
             from()
         }
+        /// A state chart is faulty.
+        Chart(source: ChartError) {
+            display("{source}")
+            source(source)
+            from()
+        }
         /// A thread could not be made.
         Thread(source: std::io::Error) {
             display("a thread could not be made: {source}")
--- a/crates/hemlock_router/src/lib.rs
+++ b/crates/hemlock_router/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod router;
 pub mod settings;
 pub mod submission;
+pub mod submission_chart;
 pub mod timers;
 pub mod work;
 
@@ -47,5 +48,6 @@
     };
     pub use crate::router::Router;
     pub use crate::settings::RouterSettings;
+    pub use crate::submission_chart::check_chart;
     pub use crate::work::MAX_TASKS;
 }
--- a/crates/hemlock_router/src/router/finish.rs
+++ b/crates/hemlock_router/src/router/finish.rs
@@ -97,15 +97,16 @@
         retry_after_ms: Option<u64>,
         out: &mut Actions,
     ) {
-        let Some(work) = self.works.remove(key) else {
+        let Some(mut work) = self.works.remove(key) else {
             return;
         };
         if let CallResult::NotRun(reason, _) = &result {
             Self::observe(out, Observation::Refused(*reason));
         }
-        if let Some(submission) = &work.submission {
+        if let Some(mut submission) = work.submission.take() {
             self.submissions.remove(&submission.id);
-            self.record_end(&work, submission, &result, out);
+            self.record_end(&work, &submission, &result, out);
+            submission.end();
         }
         self.release_waiting(&work);
         self.withdraw_flights(&work);
--- a/crates/hemlock_router/src/submission.rs
+++ b/crates/hemlock_router/src/submission.rs
@@ -7,21 +7,9 @@
 
 use crate::event::ClaimAttempt;
 use crate::fleet::EndpointKey;
+use crate::submission_chart::{Step, chart};
 
-/// Where a submission stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// The ledger is asked for it.
-    Claiming,
-    /// Another entry runs it; the ledger is asked again later.
-    Waiting,
-    /// An earlier owner's agents are fenced and asked what has started.
-    Fencing,
-    /// The answers of a finished submission are fetched from the agents.
-    Fetching,
-    /// Its tasks may start under its epoch.
-    Running,
-}
+pub use crate::submission_chart::Phase;
 
 /// One agent of an earlier owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +47,7 @@
         Self {
             id,
             digest,
-            phase: Phase::Claiming,
+            phase: chart().initial(),
             epoch: Epoch::default(),
             plan: Vec::new(),
             fenced: Vec::new(),
@@ -70,6 +58,17 @@
         }
     }
 
+    /// Its callers have their answer.
+    pub fn end(&mut self) {
+        self.step(Step::End);
+    }
+
+    fn step(&mut self, step: Step) {
+        if let Some(next) = chart().next(self.phase, step) {
+            self.phase = next;
+        }
+    }
+
     /// Where it stands.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -117,14 +116,14 @@
         );
         plan.sort_unstable();
         self.plan = plan;
-        self.phase = Phase::Claiming;
+        self.step(Step::Ask);
         self.asked_at = now;
         self.attempt = attempt;
     }
 
     /// Another entry runs it, or the ledger couldn't be asked.
     pub fn wait(&mut self, failed: bool) {
-        self.phase = Phase::Waiting;
+        self.step(Step::Postpone);
         self.failed_claims = match failed {
             true => self.failed_claims + 1,
             false => 0,
@@ -140,17 +139,17 @@
         assert_eq!(self.phase, Phase::Claiming, "only an open claim is granted");
         assert!(epoch >= self.epoch, "an epoch never falls back");
         self.epoch = epoch;
-        self.phase = Phase::Running;
-        if !previous.is_empty() {
-            self.phase = Phase::Fencing;
-            self.fenced = previous.iter().copied().map(unasked).collect();
+        self.fenced = previous.iter().copied().map(unasked).collect();
+        match previous.is_empty() {
+            true => self.step(Step::Grant),
+            false => self.step(Step::TakeOver),
         }
     }
 
     /// It ended before; its answers are fetched from the agents that hold them.
     pub fn fetch(&mut self, epoch: Epoch, holders: &[Incarnation]) {
         self.epoch = epoch;
-        self.phase = Phase::Fetching;
+        self.step(Step::FoundEnded);
         self.fenced = holders.iter().copied().map(unasked).collect();
     }
 
@@ -205,7 +204,7 @@
     pub fn begin_running(&mut self) {
         assert_eq!(self.phase, Phase::Fencing, "only fencing leads to running");
         assert!(self.is_fenced(), "no task starts before every fence stands");
-        self.phase = Phase::Running;
+        self.step(Step::Fenced);
     }
 
     /// Binds a task to the endpoint that it is sent to.
