--- a/crates/hemlock_quorum/src/lib.rs
+++ b/crates/hemlock_quorum/src/lib.rs
@@ -15,6 +15,13 @@
 //! quorum.handle(Instant::ZERO, Event::Tick, &mut out);
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
+//!
+//! A shell around the core has three duties. Its control thread feeds each
+//! [`Event`](event::Event) and does the [`Action`](action::Action)s in the order given; events that
+//! wait are fed together by [`Quorum::handle_all`](quorum::Quorum::handle_all). Its disk thread takes
+//! all [`DiskWork`](disk_work::DiskWork) that waits, calls [`perform`](storage::perform), and reports
+//! the result by [`Event::Synced`](event::Event::Synced); after an error the process stops. Its
+//! transport proves who sent a message, and may lose, repeat, delay and reorder messages.
 
 pub mod action;
 pub mod config;
--- a/crates/hemlock_quorum/src/quorum.rs
+++ b/crates/hemlock_quorum/src/quorum.rs
@@ -95,12 +95,7 @@
         recovered: RecoveredState,
     ) -> Result<Self, QuorumError> {
         config.check()?;
-        if recovered.incarnation != config.incarnation {
-            return Err(QuorumError::ForeignIncarnation(
-                recovered.incarnation,
-                config.incarnation,
-            ));
-        }
+        check_incarnation(&config, &recovered)?;
         check_gaps(&recovered)?;
         let empty = recovered.is_empty();
         let head = recovered
@@ -308,6 +303,14 @@
     }
 }
 
+fn check_incarnation(config: &QuorumConfig, recovered: &RecoveredState) -> Result<(), QuorumError> {
+    let (disk, configured) = (recovered.incarnation, config.incarnation);
+    match disk == configured {
+        true => Ok(()),
+        false => Err(QuorumError::ForeignIncarnation(disk, configured)),
+    }
+}
+
 fn check_gaps(recovered: &RecoveredState) -> Result<(), QuorumError> {
     let base = recovered
         .snapshot
--- a/crates/hemlock_quorum/src/quorum/members.rs
+++ b/crates/hemlock_quorum/src/quorum/members.rs
@@ -66,10 +66,7 @@
     }
 
     fn with_voter(&self, id: KeeperId) -> Result<MemberSet, ProposeError> {
-        let follower = self
-            .leading()
-            .and_then(|leading| leading.followers.get(&id));
-        let Some(follower) = follower else {
+        let Some(follower) = self.follower(id) else {
             return Err(ProposeError::InvalidChange(id));
         };
         match self.has_caught_up(id, follower) {
@@ -85,8 +82,8 @@
     /// Whether a member has answered lately in the life of its disk that the set names.
     fn answers(&self, id: KeeperId) -> bool {
         let patience = DurationMs::new(self.config.election_min_ms);
-        self.leading()
-            .and_then(|leading| leading.followers.get(&id)?.heard)
+        self.follower(id)
+            .and_then(|follower| follower.heard)
             .is_some_and(|heard| self.now < heard + patience)
     }
 
@@ -127,12 +124,11 @@
     }
 
     fn due_promotion(&self) -> Option<MemberChange> {
-        let leading = self.leading()?;
         self.log
             .members()
             .iter()
             .filter(|(_, member)| member.kind == MemberKind::Learner)
-            .filter_map(|(id, _)| Some((id, leading.followers.get(&id)?)))
+            .filter_map(|(id, _)| Some((id, self.follower(id)?)))
             .find(|(id, follower)| self.has_caught_up(*id, follower))
             .map(|(id, _)| MemberChange::Promote(id))
     }
--- a/crates/hemlock_quorum/src/quorum/replication.rs
+++ b/crates/hemlock_quorum/src/quorum/replication.rs
@@ -4,7 +4,7 @@
 
 use super::Quorum;
 use super::follower::{Follower, Mode};
-use super::role_state::{Leading, RoleState};
+use super::role_state::RoleState;
 use crate::entry::{Entry, Payload};
 use crate::ids::{KeeperId, LogIndex, Term};
 use crate::message::{Append, AppendReply, Body};
@@ -66,6 +66,11 @@
         })
     }
 
+    pub(super) fn follower(&self, id: KeeperId) -> Option<&Follower> {
+        self.leading()?.followers.get(&id)
+    }
+
+    /// The follower, if it is still in the life of its disk that the set names.
     pub(super) fn follower_mut(
         &mut self,
         id: KeeperId,
@@ -77,10 +82,7 @@
 
     /// Sends one message of entries, if the follower may get one, and says whether it did.
     fn send_next(&mut self, id: KeeperId) -> bool {
-        let Some(follower) = self
-            .leading()
-            .and_then(|leading| leading.followers.get(&id))
-        else {
+        let Some(follower) = self.follower(id) else {
             return false;
         };
         let (next, last) = (follower.next, self.log.last_index());
@@ -101,10 +103,7 @@
 
     /// Sends a heartbeat, which also finds out where the follower's log stands.
     fn send_empty(&mut self, id: KeeperId) {
-        let Some(follower) = self
-            .leading()
-            .and_then(|leading| leading.followers.get(&id))
-        else {
+        let Some(follower) = self.follower(id) else {
             return;
         };
         let incarnation = follower.incarnation;
@@ -179,13 +178,11 @@
     }
 
     fn send_probe(&mut self, id: KeeperId) {
-        let behind = |leading: &Leading| {
-            leading
-                .followers
-                .get(&id)
-                .is_some_and(|follower| follower.next <= self.log.base_index())
-        };
-        match self.leading().is_some_and(behind) {
+        let base = self.log.base_index();
+        match self
+            .follower(id)
+            .is_some_and(|follower| follower.next <= base)
+        {
             true => self.start_transfer(id),
             false => self.send_empty(id),
         }
--- a/crates/hemlock_quorum/src/quorum/snapshots.rs
+++ b/crates/hemlock_quorum/src/quorum/snapshots.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use super::Quorum;
-use super::follower::{Mode, Transfer};
+use super::follower::{Follower, Mode, Transfer};
 use crate::action::Action;
 use crate::disk_work::DiskWork;
 use crate::ids::{KeeperId, LogIndex, Term};
@@ -72,10 +72,7 @@
             return;
         };
         let now = self.now;
-        let Some(follower) = self
-            .leading_mut()
-            .and_then(|leading| leading.followers.get_mut(&id))
-        else {
+        let Some(follower) = self.any_follower_mut(id) else {
             return;
         };
         follower.mode = Mode::Snapshot(Transfer {
@@ -86,12 +83,13 @@
         self.send_chunk(id);
     }
 
+    fn any_follower_mut(&mut self, id: KeeperId) -> Option<&mut Follower> {
+        self.leading_mut()?.followers.get_mut(&id)
+    }
+
     fn send_chunk(&mut self, id: KeeperId) {
         let (now, most) = (self.now, self.config.chunk_bytes);
-        let Some(follower) = self
-            .leading_mut()
-            .and_then(|leading| leading.followers.get_mut(&id))
-        else {
+        let Some(follower) = self.any_follower_mut(id) else {
             return;
         };
         let incarnation = follower.incarnation;
@@ -107,8 +105,7 @@
         let pause = DurationMs::new(self.config.heartbeat_ms * RESEND_AFTER_HEARTBEATS);
         let now = self.now;
         let due = self
-            .leading()
-            .and_then(|leading| leading.followers.get(&id))
+            .follower(id)
             .is_some_and(|follower| match &follower.mode {
                 Mode::Snapshot(transfer) => now >= transfer.sent_at + pause,
                 Mode::Stream | Mode::Probe => false,
--- a/crates/hemlock_quorum/tests/cluster.rs
+++ b/crates/hemlock_quorum/tests/cluster.rs
@@ -88,7 +88,7 @@
         let first = KeeperId(1 + seed % 3);
         let second = KeeperId(1 + (seed + 1) % 3);
         for lost in [first, second] {
-            assert_eq!(sim.lose_disk(lost), "lose disk");
+            sim.replace_disk(lost);
             let repaired = sim.run_ms(REPAIR_MS, |sim| is_voter(sim, lost));
             assert!(repaired, "seed {seed}\n{}", sim.describe());
         }
--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -25,6 +25,7 @@
     Tick(KeeperId, u64),
     Deliver(KeeperId, KeeperId, Message),
     DiskDone(KeeperId, u64),
+    SnapshotEncoded(KeeperId, u64, LogIndex, Bytes),
     Propose,
     Crash(KeeperId),
     Restart(KeeperId),
@@ -115,7 +116,10 @@
                 self.feed(to, Event::Received { from, message });
             }
             Happening::DiskDone(id, life) if self.nodes[&id].life == life => self.sync(id),
-            Happening::Tick(..) | Happening::DiskDone(..) => {}
+            Happening::SnapshotEncoded(id, life, index, data) if self.nodes[&id].life == life => {
+                self.feed(id, Event::SnapshotTaken { index, data });
+            }
+            Happening::Tick(..) | Happening::DiskDone(..) | Happening::SnapshotEncoded(..) => {}
             Happening::Propose => self.propose_something(),
             Happening::Crash(id) => {
                 self.crash_briefly(id);
@@ -183,7 +187,9 @@
                 let node = self.node(id);
                 assert_eq!(index, node.applied);
                 let data = node.snapshot_data();
-                self.feed(id, Event::SnapshotTaken { index, data });
+                let life = node.life;
+                let after_us = self.rng.random_range(1..50_000);
+                self.schedule(after_us, Happening::SnapshotEncoded(id, life, index, data));
             }
             Action::ProposalDone { token, result } => self.model.answered(token, result),
             Action::ReadDone { token, result } => self.model.read_done(token, result),
