--- a/tools/bench/src/scenario/claims.rs
+++ b/tools/bench/src/scenario/claims.rs
@@ -40,9 +40,9 @@
 const AGENT: Incarnation = Incarnation(0xA6E7);
 /// Deadline of each claimed submission, in milliseconds.
 const DEADLINE_MS: u64 = 60_000;
-/// Histogram of sync times.
-const SYNC_SECONDS_SUM: &str = "hemlock_keeper_sync_seconds_sum";
-const SYNC_SECONDS_COUNT: &str = "hemlock_keeper_sync_seconds_count";
+/// Histogram of sync times in milliseconds.
+const SYNC_MS_SUM: &str = "hemlock_keeper_sync_ms_sum";
+const SYNC_MS_COUNT: &str = "hemlock_keeper_sync_ms_count";
 
 /// Runs the scenario.
 ///
@@ -137,7 +137,7 @@
         "claims_per_s": rounded(granted / elapsed_s),
         "p50_ms": rounded(sample.quantile(0.5) / 1e3),
         "p99_ms": rounded(sample.quantile(0.99) / 1e3),
-        "sync_ms": rounded((after.seconds - before.seconds) * 1e3 / syncs),
+        "sync_ms": rounded((after.total_ms - before.total_ms) / syncs),
         "claims_per_sync": rounded(granted * cluster.keepers.len() as f64 / syncs),
         "refused": refused.take(),
     }))
@@ -251,7 +251,7 @@
 }
 
 struct SyncFigures {
-    seconds: f64,
+    total_ms: f64,
     count: f64,
 }
 
@@ -261,7 +261,7 @@
         counters.add_from(keeper.addresses.http);
     }
     SyncFigures {
-        seconds: counters.sum(SYNC_SECONDS_SUM),
-        count: counters.sum(SYNC_SECONDS_COUNT),
+        total_ms: counters.sum(SYNC_MS_SUM),
+        count: counters.sum(SYNC_MS_COUNT),
     }
 }
