Ask the least used of a few agents for one slot a task, and take questions back sooner

Cause: questions that outlive the queue are granted slots that nobody uses. Change: each waiting task asks for one slot instead of two, at agents where this entry has the fewest starts of three drawn; questions are taken back 2 ms after the queue is empty instead of 20.

--- a/crates/hemlock_router/src/router/wants.rs
+++ b/crates/hemlock_router/src/router/wants.rs
@@ -14,6 +14,10 @@
 
 /// Agents asked at first for each waiting task.
 const FIRST_ASKED: usize = 2;
+/// Slots asked for each waiting task, over all agents.
+const ASKED_SLOTS: usize = 1;
+/// Agents drawn for each one added.
+const DRAWS: usize = 3;
 /// Most agents asked at once.
 const MOST_ASKED: usize = 64;
 /// Pause after which more agents are asked, in milliseconds.
@@ -21,7 +25,7 @@
 /// Pause between two looks at a queue that waits, in milliseconds.
 const LOOK_MS: u64 = 1;
 /// Time for which a question stands when nothing waits any more, in milliseconds.
-const LINGER_MS: u64 = 20;
+const LINGER_MS: u64 = 2;
 
 /// The slots that a service's queue has asked for.
 #[derive(Debug, Default)]
@@ -97,31 +101,30 @@
         self.add_asked(service, target);
     }
 
+    /// Adds agents, of a few random ones the one with the fewest starts of this entry each time.
     fn add_asked(&mut self, service: ServiceKey, target: usize) {
         let all = self.fleet.of_service(service);
         if all.is_empty() {
             return;
         }
-        let offset = self.rng.random_range(0..all.len());
-        let (after, before) = all.split_at(offset);
         let fleet = &self.fleet;
         let wants = &mut self.services[service.0 as usize].wants;
         let open = |key: &EndpointKey| fleet.get(*key).is_some_and(|endpoint| endpoint.is_open());
         wants.asked.retain(open);
-        for key in before.iter().chain(after) {
-            if wants.asked.len() >= target {
-                break;
-            }
-            if open(key) && !wants.asked.contains(key) {
-                wants.asked.push(*key);
-            }
+        let mut draws = target * DRAWS;
+        while wants.asked.len() < target && draws > 0 {
+            draws -= 1;
+            let drawn = (0..DRAWS).map(|_| all[self.rng.random_range(0..all.len())]);
+            let usable = drawn.filter(|key| open(key) && !wants.asked.contains(key));
+            let load = |key: &EndpointKey| fleet.get(*key).map(|endpoint| endpoint.in_flight);
+            wants.asked.extend(usable.min_by_key(load));
         }
     }
 
     /// Tells each asked agent how many slots the queue waits for there, when that has grown much.
     fn ask(&mut self, service: ServiceKey, waiting: usize, out: &mut Actions) {
         let asked = std::mem::take(&mut self.service(service).wants.asked);
-        let share = (waiting * FIRST_ASKED).div_ceil(asked.len().max(1));
+        let share = (waiting * ASKED_SLOTS).div_ceil(asked.len().max(1));
         for key in &asked {
             let Some(endpoint) = self.fleet.get_mut(*key) else {
                 continue;
