--- a/crates/hemlock_router/src/router/finish.rs
+++ b/crates/hemlock_router/src/router/finish.rs
@@ -150,8 +150,8 @@
         let Some(flight) = self.flights.get_mut(key) else {
             return;
         };
-        flight.abandoned = true;
-        if !flight.lost {
+        let known = std::mem::replace(&mut flight.abandoned, true);
+        if !known && !flight.lost {
             let (endpoint, request) = (flight.endpoint, flight.request);
             self.cancels.entry(endpoint).or_default().push(request);
         }
