--- a/crates/hemlock_router/tests/site/mod.rs
+++ b/crates/hemlock_router/tests/site/mod.rs
@@ -223,7 +223,7 @@
             if self.router.next_wakeup().is_some_and(|at| at <= self.now) {
                 self.tell(Event::Tick);
             }
-            if self.now.as_micros() % 1_000_000 == 0 {
+            if self.now.as_micros().is_multiple_of(1_000_000) {
                 self.sync(8_000);
             }
         }
