--- a/tools/bench/src/cluster/running.rs
+++ b/tools/bench/src/cluster/running.rs
@@ -266,16 +266,13 @@
         starts.values().map(|count| count - 1).sum()
     }
 
-    /// Position of the leading keeper, if one says that it leads.
+    /// Position of the leading keeper, as a keeper names it.
     pub(crate) fn leader(&self) -> Option<usize> {
-        self.keepers.iter().position(|keeper| {
-            let status = operator_call(keeper.addresses.http, "GET", "/v1/status", None);
-            let body: Value = status
-                .ok()
-                .and_then(|answer| serde_json::from_str(&answer.body).ok())
-                .unwrap_or_default();
-            body["role"] == "leader" || body["is_leader"] == true
-        })
+        let status = self.operator("GET", "/v1/status", None).ok()?;
+        let body: Value = serde_json::from_str(&status.body).ok()?;
+        let id = usize::try_from(body["leader"].as_u64()?).ok()?;
+        id.checked_sub(1)
+            .filter(|index| *index < self.keepers.len())
     }
 }
 
