Call endpoints without a thread for each call

Cause: with a total timeout the HTTP client library starts, for each call, a thread that it never joins. A head that trickles is bounded only by the time between two reads.

--- a/crates/hemlock_http/src/client.rs
+++ b/crates/hemlock_http/src/client.rs
@@ -235,6 +235,7 @@
             _ => return Err(HttpClientError::TooLarge(limit)),
         };
         let mut body = Vec::with_capacity(room);
+        let reader = UntilDeadline { reader, deadline };
         reader
             .take(expected_bytes)
             .read_to_end(&mut body)
@@ -250,6 +251,22 @@
     }
 }
 
+/// Stops reading at a deadline, however often single bytes arrive. The library's own guard
+/// against that starts a thread for each call.
+struct UntilDeadline<R> {
+    reader: R,
+    deadline: Instant,
+}
+
+impl<R: Read> Read for UntilDeadline<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        match Instant::now() < self.deadline {
+            true => self.reader.read(buffer),
+            false => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+}
+
 fn header_name(name: &str) -> Result<HeaderName, HttpClientError> {
     name.parse().map_err(|_| HttpClientError::BadRequest)
 }
--- a/crates/hemlock_http/tests/answers.rs
+++ b/crates/hemlock_http/tests/answers.rs
@@ -190,3 +190,25 @@
         reply.body == body
     }
 }
+
+#[test]
+fn a_trickling_answer_ends_at_the_deadline() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("the test's own set-up works");
+    let address = listener.local_addr().expect("the test's own set-up works");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the test's own set-up works");
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+            .expect("the test's own set-up works");
+        // Until the client has given up.
+        while stream.write_all(b"x").is_ok() {
+            thread::sleep(std::time::Duration::from_millis(5));
+        }
+    });
+    let call = HttpCall::new(Method::Get, address, "/").with_timeout_ms(100);
+    let error = HttpClient::new(HttpClientConfig::default())
+        .send(&call)
+        .unwrap_err();
+    assert!(matches!(error, HttpClientError::Timeout), "{error:?}");
+    server.join().expect("the test's own set-up works");
+}
