--- a/crates/hemlock_gate/examples/gate_cost.rs
+++ b/tools/bench/src/scenario/decisions/gate.rs
@@ -1,9 +1,4 @@
-//! Measures what a gate costs: nanoseconds for each start with its end, and for each
-//! cancelled start of a wave. One JSON line for each number of entries.
-//!
-//! ```text
-//! cargo run --release -p hemlock_gate --example gate_cost
-//! ```
+//! What a decision of the gate core costs.
 
 use std::time::Instant as WallInstant;
 
@@ -15,18 +10,26 @@
 const SLOTS: u16 = 8;
 const STARTS: u64 = 400_000;
 const WAVE: u64 = 4_000;
-const ENTRIES: [u64; 5] = [1, 4, 16, 64, 256];
 
-fn main() {
-    for entries in ENTRIES {
-        let fast_ns = start_ns(dealt(), entries, false);
-        let claimed_ns = start_ns(dealt(), entries, true);
-        let no_credits_ns = start_ns(Box::new(NoCredits), entries, false);
-        let cancel_ns = cancel_ns(entries);
-        println!(
-            "{{\"entries\":{entries},\"start_ns\":{fast_ns},\"claimed_start_ns\":{claimed_ns},\
-             \"start_without_credits_ns\":{no_credits_ns},\"cancel_ns\":{cancel_ns}}}"
-        );
+/// Costs of one gate, in nanoseconds.
+pub(super) struct GateCost {
+    /// A start without a submission, with its end.
+    pub(super) start_ns: u128,
+    /// A start of a submission, with its end.
+    pub(super) claimed_start_ns: u128,
+    /// A start where no credits are dealt, with its end.
+    pub(super) start_without_credits_ns: u128,
+    /// One cancellation of a wave.
+    pub(super) cancel_ns: u128,
+}
+
+/// Costs of a gate that serves `entries` entries.
+pub(super) fn cost_of_gate(entries: u64) -> GateCost {
+    GateCost {
+        start_ns: start_ns(dealt(), entries, false),
+        claimed_start_ns: start_ns(dealt(), entries, true),
+        start_without_credits_ns: start_ns(Box::new(NoCredits), entries, false),
+        cancel_ns: cancel_ns(entries),
     }
 }
 
--- a/crates/hemlock_router/examples/router_cost.rs
+++ b/tools/bench/src/scenario/decisions/router.rs
@@ -1,9 +1,4 @@
-//! Measures what a decision of the router costs: nanoseconds for each task from its submission
-//! to its answer, and for its placement alone. One JSON line for each number of endpoints.
-//!
-//! ```text
-//! cargo run --release -p hemlock_router --example router_cost
-//! ```
+//! What a decision of the router core costs.
 
 use std::time::Instant as WallInstant;
 
@@ -14,7 +9,6 @@
 use hemlock_router::prelude::*;
 use hemlock_types::prelude::*;
 
-const ENDPOINTS: [u64; 3] = [11, 200, 1_900];
 const TASKS: u64 = 200_000;
 const SLOTS: u16 = 8;
 
@@ -105,7 +99,7 @@
 }
 
 /// Nanoseconds for one submission with its start, and for one answer with the slot's return.
-fn cost_ns(policy: &str, endpoints: u64) -> (u64, u64) {
+pub(super) fn cost_ns(policy: &str, endpoints: u64) -> (u64, u64) {
     let mut router = ready_router(policy, endpoints);
     let mut out = Actions::new();
     let in_flight = endpoints * u64::from(SLOTS) * 7 / 10;
@@ -146,15 +140,3 @@
     let each = |total: u128| (total / u128::from(TASKS)) as u64;
     (each(start_ns), each(settle_ns))
 }
-
-fn main() {
-    for endpoints in ENDPOINTS {
-        for policy in POLICIES {
-            let (submit_and_start_ns, settle_ns) = cost_ns(policy, endpoints);
-            println!(
-                "{{\"endpoints\":{endpoints},\"policy\":\"{policy}\",\
-                 \"router_ns\":{submit_and_start_ns},\"settle_ns\":{settle_ns}}}"
-            );
-        }
-    }
-}
--- a/tools/bench/src/scenario/mod.rs
+++ b/tools/bench/src/scenario/mod.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod contract_change;
+mod decisions;
 mod faults;
 mod keeper_loss;
 mod latency;
@@ -36,6 +37,7 @@
         "claims" => claims::run(options),
         "keeper-loss" => keeper_loss::run(options),
         "contract-change" => contract_change::run(options),
+        "decisions" => decisions::run(options),
         "slopes" => slopes::run(options),
         "soak" => soak::run(options),
         other => Err(BenchError::UnknownScenario(other.to_owned())),
