Bring about failures on the whole path, seen from callers and stand-ins

Change: tests with every role in one process. A keeper that is gone for a while: idempotent work goes on while the lease holds, a claim is told as failed and never as not run, and the same call runs once after the keeper is back. An agent that dies with forty requests in flight: no key starts twice. Answers too large for the ledger: fetched from the agents through another entry. Bad calls: refused, and nothing runs.

--- a/crates/hemlock_entry/tests/common/mod.rs
+++ b/crates/hemlock_entry/tests/common/mod.rs
@@ -168,15 +168,31 @@
     }
 
     pub(crate) fn job(&self, entry: &EntryHandle, name: &str, tasks: usize) -> HttpReply {
-        let tasks: Vec<_> = (0..tasks)
-            .map(|index| serde_json::json!({"operation": "reserve", "body": index}))
+        let bodies = (0..tasks).map(serde_json::Value::from).collect();
+        self.job_of(entry, name, bodies)
+    }
+
+    /// A job whose answers are too large for the ledger.
+    pub(crate) fn large_job(&self, entry: &EntryHandle, name: &str, tasks: usize) -> HttpReply {
+        let body = serde_json::json!({"answer_bytes": 4_000});
+        self.job_of(entry, name, vec![body; tasks])
+    }
+
+    fn job_of(&self, entry: &EntryHandle, name: &str, bodies: Vec<serde_json::Value>) -> HttpReply {
+        let tasks: Vec<_> = bodies
+            .iter()
+            .map(|body| serde_json::json!({"operation": "reserve", "body": body}))
             .collect();
         let job = serde_json::json!({
             "submission": name, "service": "portaal", "deadline_ms": 10_000, "tasks": tasks,
         });
+        self.post_job(entry, job.to_string().into_bytes())
+    }
+
+    pub(crate) fn post_job(&self, entry: &EntryHandle, body: Vec<u8>) -> HttpReply {
         let call = HttpCall::new(Method::Post, entry.http_address(), "/v1/jobs")
             .with_header("Authorization", format!("Bearer {KEY}"))
-            .with_body(job.to_string(), "application/json");
+            .with_body(body, "application/json");
         HttpClient::new(HttpClientConfig::default())
             .send(&call)
             .unwrap()
@@ -198,6 +214,17 @@
             .sum()
     }
 
+    /// The most starts of any one idempotency key.
+    pub(crate) fn most_starts_of_a_key(&self) -> u32 {
+        let mut starts = std::collections::HashMap::new();
+        for standin in &self.standins {
+            for (key, count) in standin.key_starts() {
+                *starts.entry(key).or_insert(0) += count;
+            }
+        }
+        starts.into_values().max().unwrap_or(0)
+    }
+
     /// The most starts of any one task.
     pub(crate) fn most_starts_of_a_task(&self) -> u32 {
         let mut starts = std::collections::HashMap::new();
@@ -227,3 +254,20 @@
 pub(crate) fn header<'a>(reply: &'a HttpReply, name: &str) -> &'a str {
     reply.header(name).unwrap_or("")
 }
+
+impl Cluster {
+    /// Ends the keeper at once; its data folder stays.
+    pub(crate) fn kill_keeper(&mut self) {
+        if let Some(keeper) = self.keeper.take() {
+            keeper.kill();
+        }
+    }
+
+    /// Starts the keeper again on its data folder, at the same address.
+    pub(crate) fn restart_keeper(&mut self) {
+        let settings = keeper_settings(self.folder.path(), self.keeper_wire);
+        let keeper = Keeper::start(settings).unwrap();
+        self.keeper_http = keeper.http_address();
+        self.keeper = Some(keeper);
+    }
+}
