--- a/crates/hemlock_agent/tests/agent.rs
+++ b/crates/hemlock_agent/tests/agent.rs
@@ -266,3 +266,22 @@
     let seen = end(agent, endpoint);
     assert_eq!((seen.started, seen.finished, seen.cut), (1, 1, 0));
 }
+
+#[test]
+fn answers_that_cross_reach_their_own_starts() {
+    let endpoint = standin();
+    let agent = started(&endpoint, 8);
+    run(async {
+        let entry = FakeEntry::connect(agent.wire_address()).await;
+        // The first to start is the last to end, and the answers come in reverse.
+        let starts = (1..=8).map(|request| {
+            let slow = with_work(spec(agent.incarnation(), request, None), 20 * (9 - request));
+            entry.start(slow)
+        });
+        let outcomes = futures::future::join_all(starts).await;
+        for (index, outcome) in outcomes.iter().enumerate() {
+            assert_eq!(body(outcome)["key"], format!("k{}", index + 1));
+        }
+    });
+    assert_eq!(end(agent, endpoint).peak_running, 8);
+}
--- a/crates/hemlock_gate/src/credit.rs
+++ b/crates/hemlock_gate/src/credit/dealt.rs
@@ -1,11 +1,4 @@
-//! Credits: the right of an entry to have a start accepted, dealt to where the work is.
-//!
-//! A credit reserves an idle slot for one entry. The book hands idle slots first to entries
-//! that wait, in the order in which they asked, then back to the entry that used the slot
-//! last. A credit that nobody has asked for never blocks anyone: an entry that waits, or that
-//! starts without a credit, takes the reservation of whoever has been idle longest. The loser
-//! is told by a recall, and a start that crosses it on the way is served like any start
-//! without a credit.
+//! The rule that deals idle slots ahead of demand.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -14,148 +7,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::account::Account;
+use super::{CreditPolicy, Deal, Spare};
 use crate::event::LinkId;
 
-/// Microseconds in a millisecond.
-const MICROS_PER_MS: u64 = 1_000;
-
-/// Round trip assumed before the first measurement, in microseconds.
-const FIRST_ROUND_TRIP_MICROS: u64 = 5_000;
-
-/// Longest round trip that a promise waits for, in microseconds.
-const MAX_ROUND_TRIP_MICROS: u64 = 25_000;
-
-/// A measured round trip counts one part in this many.
-const SMOOTHING: u64 = 4;
-
-/// What a deal changes: credits to grant and to recall, by link.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Deal {
-    /// Credits to grant.
-    pub granted: Vec<(LinkId, u16)>,
-    /// Credits to recall.
-    pub recalled: Vec<(LinkId, u16)>,
-}
-
-impl Deal {
-    fn grant(&mut self, link: LinkId) {
-        count(&mut self.granted, link);
-    }
-
-    fn recall(&mut self, link: LinkId) {
-        count(&mut self.recalled, link);
-    }
-
-    /// Forgets the changes, keeping the memory.
-    pub fn clear(&mut self) {
-        self.granted.clear();
-        self.recalled.clear();
-    }
-}
-
-fn count(counts: &mut Vec<(LinkId, u16)>, link: LinkId) {
-    match counts.iter_mut().find(|(known, _)| *known == link) {
-        Some((_, number)) => *number += 1,
-        None => counts.push((link, 1)),
-    }
-}
-
-/// Who the idle slots of a deal may go to when nobody waits for them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Spare {
-    /// Nobody: they stay unreserved.
-    Keep,
-    /// The link whose task has just ended.
-    To(LinkId),
-    /// Every link in turn.
-    Spread,
-    /// A link that has just opened, which also gets its part of what the others hold.
-    Share(LinkId),
-}
-
-/// A rule that deals idle slots to the entries' links.
-pub trait CreditPolicy: Send {
-    /// An entry has connected.
-    fn open(&mut self, link: LinkId);
-    /// A link is closed; its credits are void.
-    fn close(&mut self, link: LinkId);
-    /// The link is silent: its credits are recalled and it gets none until it is heard.
-    fn silence(&mut self, link: LinkId, out: &mut Deal);
-    /// The silent link is heard again.
-    fn hear(&mut self, link: LinkId);
-    /// The link's round trip took `micros` microseconds.
-    fn note_round_trip(&mut self, link: LinkId, micros: u64);
-    /// The entry has `count` tasks waiting.
-    fn want(&mut self, now: Instant, link: LinkId, count: u16);
-    /// A start has arrived; it uses a credit if the link holds one. Says whether it did.
-    fn consume(&mut self, now: Instant, link: LinkId) -> bool;
-    /// A recall of `asked` credits was answered with `slots` returned.
-    fn returned(&mut self, link: LinkId, asked: u16, slots: u16);
-    /// Deals so that the reservations fit `idle` slots.
-    fn deal(&mut self, now: Instant, idle: u16, spare: Spare, out: &mut Deal);
-    /// Makes every credit and want void.
-    fn void(&mut self);
-    /// Slots reserved now.
-    fn reserved(&self) -> u16;
-    /// Links that wait for a slot.
-    fn waiting(&self) -> usize;
-    /// When a deal may find more to do, if the time alone can change that.
-    fn next_wakeup(&self) -> Option<Instant>;
-}
-
-/// One link's credits.
-#[derive(Debug, Default)]
-struct Account {
-    /// Credits that the entry may believe it holds.
-    held: u16,
-    /// Of these, credits that are being recalled and reserve nothing.
-    recalling: u16,
-    /// Of the reserved ones, credits granted to waiting work that must not be recalled yet.
-    promised: u16,
-    /// Until when.
-    promised_until: Instant,
-    /// Smoothed round trip, in microseconds; zero before the first measurement.
-    round_trip_micros: u64,
-    /// Waiting tasks of the entry.
-    want: u16,
-    /// Whether the link stands in the queue of waiting links.
-    queued: bool,
-    /// No credits are dealt to a silent link.
-    silent: bool,
-    /// Last use or grant, which orders the links for recalls.
-    used: Instant,
-    /// Credits ever granted.
-    granted: u64,
-    /// For each recall under way, the credits granted before it.
-    recalls: VecDeque<u64>,
-}
-
-impl Account {
-    fn reserved(&self) -> u16 {
-        self.held - self.recalling
-    }
-
-    /// Reserved credits that may be recalled now.
-    fn spare(&self) -> u16 {
-        self.reserved().saturating_sub(self.promised)
-    }
-
-    /// How long an asked-for credit may take to come back as a start, given a margin.
-    fn promise(&self, margin: DurationMs) -> DurationMs {
-        let round_trip_micros = match self.round_trip_micros {
-            0 => FIRST_ROUND_TRIP_MICROS,
-            micros => micros.min(MAX_ROUND_TRIP_MICROS),
-        };
-        DurationMs::new(round_trip_micros.div_ceil(MICROS_PER_MS) + margin.as_ms())
-    }
-
-    fn settle_bounds(&mut self) {
-        self.recalling = self.recalling.min(self.held);
-        self.promised = self.promised.min(self.reserved());
-    }
-}
-
-/// Deals idle slots ahead of demand and moves them to where it is; see the module's text.
+/// Deals idle slots ahead of demand and moves them to where it is; see the text of [`credit`](super).
 #[derive(Debug)]
 pub struct DealtCredits {
     accounts: HashMap<LinkId, Account>,
@@ -406,13 +262,7 @@
     }
 
     fn note_round_trip(&mut self, link: LinkId, micros: u64) {
-        self.change(link, |account| {
-            account.round_trip_micros = match account.round_trip_micros {
-                0 => micros,
-                known => (known * (SMOOTHING - 1) + micros) / SMOOTHING,
-            }
-            .max(1);
-        });
+        self.change(link, |account| account.note_round_trip(micros));
     }
 
     fn want(&mut self, now: Instant, link: LinkId, count: u16) {
@@ -506,31 +356,3 @@
         }
     }
 }
-
-/// Grants nothing: a start is accepted when a slot happens to be idle. The baseline.
-#[derive(Debug, Default)]
-pub struct NoCredits;
-
-impl CreditPolicy for NoCredits {
-    fn open(&mut self, _link: LinkId) {}
-    fn close(&mut self, _link: LinkId) {}
-    fn silence(&mut self, _link: LinkId, _out: &mut Deal) {}
-    fn hear(&mut self, _link: LinkId) {}
-    fn note_round_trip(&mut self, _link: LinkId, _micros: u64) {}
-    fn want(&mut self, _now: Instant, _link: LinkId, _count: u16) {}
-    fn consume(&mut self, _now: Instant, _link: LinkId) -> bool {
-        false
-    }
-    fn returned(&mut self, _link: LinkId, _asked: u16, _slots: u16) {}
-    fn deal(&mut self, _now: Instant, _idle: u16, _spare: Spare, _out: &mut Deal) {}
-    fn void(&mut self) {}
-    fn reserved(&self) -> u16 {
-        0
-    }
-    fn waiting(&self) -> usize {
-        0
-    }
-    fn next_wakeup(&self) -> Option<Instant> {
-        None
-    }
-}
