--- a/crates/hemlock_entry/tests/common/mod.rs
+++ b/crates/hemlock_entry/tests/common/mod.rs
@@ -168,17 +168,17 @@
     }
 
     pub(crate) fn job(&self, entry: &EntryHandle, name: &str, tasks: usize) -> HttpReply {
-        let bodies = (0..tasks).map(serde_json::Value::from).collect();
-        self.job_of(entry, name, bodies)
+        let bodies: Vec<_> = (0..tasks).map(serde_json::Value::from).collect();
+        self.job_of(entry, name, &bodies)
     }
 
     /// A job whose answers are too large for the ledger.
     pub(crate) fn large_job(&self, entry: &EntryHandle, name: &str, tasks: usize) -> HttpReply {
         let body = serde_json::json!({"answer_bytes": 4_000});
-        self.job_of(entry, name, vec![body; tasks])
+        self.job_of(entry, name, &vec![body; tasks])
     }
 
-    fn job_of(&self, entry: &EntryHandle, name: &str, bodies: Vec<serde_json::Value>) -> HttpReply {
+    fn job_of(&self, entry: &EntryHandle, name: &str, bodies: &[serde_json::Value]) -> HttpReply {
         let tasks: Vec<_> = bodies
             .iter()
             .map(|body| serde_json::json!({"operation": "reserve", "body": body}))
