Let the last answers leave before a drained keeper closes its connections

Cause: a drain ended the lane as soon as the core was done, while answers to claims could still be on their way to the socket. Change: the lane flushes for 50 ms after a drain; a kill still closes at once. A caller that claims without pause sees no request cut by the drain.

--- a/crates/hemlock_keeper/src/shell/handle.rs
+++ b/crates/hemlock_keeper/src/shell/handle.rs
@@ -8,7 +8,7 @@
 use hemlock_types::prelude::*;
 use tokio::sync::watch;
 
-use super::input::Input;
+use super::input::{Input, LaneStop};
 use crate::error::KeeperError;
 
 /// A running keeper. Dropping it ends the keeper at once and joins its threads.
@@ -17,7 +17,7 @@
     pub(super) wire_address: SocketAddr,
     pub(super) http_address: SocketAddr,
     pub(super) inputs: Sender<Input>,
-    pub(super) stop_lane: watch::Sender<bool>,
+    pub(super) stop_lane: watch::Sender<LaneStop>,
     pub(super) threads: Option<Threads>,
 }
 
@@ -81,10 +81,10 @@
     ///
     /// Why the keeper could not go on, if it failed.
     pub fn join(mut self) -> Result<(), KeeperError> {
-        self.join_threads()
+        self.join_threads(LaneStop::Flush)
     }
 
-    fn join_threads(&mut self) -> Result<(), KeeperError> {
+    fn join_threads(&mut self, stop: LaneStop) -> Result<(), KeeperError> {
         let Some(threads) = self.threads.take() else {
             return Ok(());
         };
@@ -92,7 +92,7 @@
             .control
             .join()
             .unwrap_or(Err(KeeperError::Panicked("control")));
-        self.stop_lane.send_replace(true);
+        self.stop_lane.send_replace(stop);
         let disk = threads
             .disk
             .join()
@@ -117,7 +117,7 @@
             // A keeper that has ended already needs no telling, and a failure has no one to be
             // told to.
             drop(self.inputs.send(Input::Kill));
-            drop(self.join_threads());
+            drop(self.join_threads(LaneStop::AtOnce));
         }
     }
 }
--- a/crates/hemlock_keeper/src/shell/input.rs
+++ b/crates/hemlock_keeper/src/shell/input.rs
@@ -50,3 +50,14 @@
     pub(super) index: LogIndex,
     pub(super) state: Box<StateSnapshot>,
 }
+
+/// Whether the lane is to go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LaneStop {
+    /// It goes on.
+    GoOn,
+    /// It ends once the answers given so far are on their way.
+    Flush,
+    /// It ends at once.
+    AtOnce,
+}
--- a/crates/hemlock_keeper/src/shell/lane.rs
+++ b/crates/hemlock_keeper/src/shell/lane.rs
@@ -15,16 +15,19 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-use super::input::{Input, LaneOrder};
+use super::input::{Input, LaneOrder, LaneStop};
 use super::peers::Peers;
 
+/// Time for the last answers to leave.
+const FLUSH_TIME: DurationMs = DurationMs::new(50);
+
 /// What the lane needs.
 pub(super) struct Lane {
     pub(super) listener: StdListener,
     pub(super) identity: Identity,
     pub(super) control: Sender<Input>,
     pub(super) orders: mpsc::UnboundedReceiver<LaneOrder>,
-    pub(super) stop: watch::Receiver<bool>,
+    pub(super) stop: watch::Receiver<LaneStop>,
 }
 
 impl Lane {
@@ -40,22 +43,29 @@
         let control = self.control.clone();
         let service: Rc<dyn Service> = Rc::new(KeeperService { control });
         let peers = Peers::new(Rc::clone(&identity), Rc::clone(&service), self.control);
-        let mut stop = self.stop;
-        let mut stop_orders = stop.clone();
-        let stopped = async move {
-            // An error means that the handle is gone, which is a reason to stop as well.
-            let _ = stop.wait_for(|stop| *stop).await;
-        };
-        let ordered = peers.follow(self.orders);
-        let orders_stopped = async move {
-            let _ = stop_orders.wait_for(|stop| *stop).await;
-        };
-        tokio::join!(serve(listener, identity, service, stopped), async move {
+        let serving = serve(
+            listener,
+            identity,
+            service,
+            until_stopped(self.stop.clone()),
+        );
+        let talking = async {
             tokio::select! {
-                () = ordered => {}
-                () = orders_stopped => {}
+                () = peers.follow(self.orders) => {}
+                () = until_stopped(self.stop) => {}
             }
-        });
+        };
+        tokio::join!(serving, talking);
+    }
+}
+
+/// Returns once the lane is to end.
+async fn until_stopped(mut stop: watch::Receiver<LaneStop>) {
+    let asked = stop.wait_for(|stop| *stop != LaneStop::GoOn).await;
+    // An error means that the handle is gone, which is a reason to end at once.
+    let flush = asked.is_ok_and(|stop| *stop == LaneStop::Flush);
+    if flush {
+        tokio::time::sleep(FLUSH_TIME.as_std()).await;
     }
 }
 
--- a/crates/hemlock_keeper/src/shell/start.rs
+++ b/crates/hemlock_keeper/src/shell/start.rs
@@ -21,7 +21,7 @@
 use super::edge::Edge;
 use super::encoder;
 use super::handle::{KeeperHandle, Threads};
-use super::input::{EncodeOrder, Input, LaneOrder};
+use super::input::{EncodeOrder, Input, LaneOrder, LaneStop};
 use super::lane::Lane;
 use crate::core::KeeperCore;
 use crate::error::KeeperError;
@@ -65,7 +65,7 @@
         let (lane_orders, lane_queue) = mpsc::unbounded_channel();
         // The lane has not started yet, so it takes this as its first order.
         drop(lane_orders.send(LaneOrder::Keepers(keepers)));
-        let (stop_lane, lane_stopped) = watch::channel(false);
+        let (stop_lane, lane_stopped) = watch::channel(LaneStop::GoOn);
         let (disk_work, disk_queue) = unbounded();
         let (encoder, encoder_queue) = unbounded();
         let ready = Arc::new(AtomicBool::new(false));
--- a/crates/hemlock_keeper/tests/cluster.rs
+++ b/crates/hemlock_keeper/tests/cluster.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
-use common::Cluster;
+use common::{Cluster, WireCaller};
 use hemlock_http::prelude::{HttpCall, HttpClient, HttpClientConfig, Method};
 use hemlock_keeper::Keeper;
+use hemlock_ledger::prelude::*;
+use hemlock_types::prelude::*;
+use hemlock_wire::CallError;
+use hemlock_wire::message::keeper::{KeeperReply, KeeperRequest};
 
 #[test]
 fn any_keeper_takes_an_operators_call() {
@@ -108,3 +112,40 @@
     let leader = cluster.leader();
     assert_eq!(cluster.put(leader, "sablah", 1, 10).0, 200);
 }
+
+#[test]
+fn a_drain_answers_every_claim_in_flight() {
+    let mut cluster = Cluster::start(1);
+    cluster.leader();
+    let address = cluster.wire_address(0);
+    let caller = std::thread::spawn(move || {
+        let mut caller = WireCaller::new(Role::Entry);
+        assert!(caller.connect(address));
+        let mut answered = 0;
+        loop {
+            match caller.try_ask(&claims(caller.incarnation())) {
+                Ok(KeeperReply::Claims(replies)) => {
+                    assert!(matches!(replies[0], ClaimReply::Granted { .. }));
+                    answered += 1;
+                }
+                Ok(_) => return answered,
+                Err(CallError::Lost) => panic!("a request in flight was cut"),
+                Err(_) => return answered,
+            }
+        }
+    });
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    cluster.stop(0);
+    assert!(caller.join().expect("every answer is a claim's") > 0);
+}
+
+fn claims(entry: Incarnation) -> KeeperRequest {
+    KeeperRequest::Claims(vec![ClaimRequest {
+        submission: SubmissionId::derive(&"sablah".into(), "hold-1"),
+        digest: Digest::of_key(b"room 4"),
+        entry,
+        tasks: 1,
+        plan: vec![Incarnation(900)],
+        deadline_ms: 30_000,
+    }])
+}
--- a/crates/hemlock_keeper/tests/common/mod.rs
+++ b/crates/hemlock_keeper/tests/common/mod.rs
@@ -244,15 +244,19 @@
 
     /// Asks the connected keeper; `None` when no answer comes.
     pub fn ask(&mut self, request: &KeeperRequest) -> Option<KeeperReply> {
-        let link = self.connection.as_ref()?.link.clone();
+        self.try_ask(request).ok()
+    }
+
+    /// Asks the connected keeper, and tells why no answer comes.
+    pub fn try_ask(&mut self, request: &KeeperRequest) -> Result<KeeperReply, CallError> {
+        let connection = self.connection.as_ref().ok_or(CallError::NeverSent)?;
+        let link = connection.link.clone();
         let answer = async {
             let call = link.call::<_, KeeperReply>(request);
             tokio::time::timeout(Duration::from_secs(5), call).await
         };
-        match self.local.block_on(&self.runtime, answer) {
-            Ok(Ok(reply)) => Some(reply),
-            _ => None,
-        }
+        let answered = self.local.block_on(&self.runtime, answer);
+        answered.unwrap_or(Err(CallError::Lost))
     }
 
     /// Asks keeper after keeper until one gives an answer as the leader.
