--- a/tools/bench/src/scenario/claims.rs
+++ b/tools/bench/src/scenario/claims.rs
@@ -173,7 +173,9 @@
             return;
         };
         let mut batch = vec![first];
-        while let (true, Ok(more)) = (batch.len() < CLAIMS_PER_CALL, waiting.try_recv()) {
+        while batch.len() < CLAIMS_PER_CALL
+            && let Ok(more) = waiting.try_recv()
+        {
             batch.push(more);
         }
         let link = link.clone();
