--- a/crates/hemlock_gate/src/credit/dealt.rs
+++ b/crates/hemlock_gate/src/credit/dealt.rs
@@ -11,7 +11,10 @@
 use super::{CreditPolicy, Deal, Spare};
 use crate::event::LinkId;
 
-/// Deals idle slots ahead of demand and moves them to where it is; see the text of [`credit`](super).
+/// Deals idle slots ahead of demand and moves them to where it is.
+///
+/// Idle slots go first to entries that wait, then back to the entry that used them last. An
+/// entry that waits takes the reservation of whoever has been idle longest.
 #[derive(Debug)]
 pub struct DealtCredits {
     accounts: HashMap<LinkId, Account>,
