Found no second cluster beside one that is out of the settings

Cause: with every founder replaced and running again on an empty disk, the lowest one got an empty disk's answer from all that its settings name, and founded a second cluster while the first was running. Ruled out: late answers to an earlier life, which name that life and are dropped. Change: a founder listens for a little longer than the longest election timeout; any message but a call shows that a cluster exists, and its sender is called from then on. The settings' page says to name the present keepers; the fake's operator does, and a test keeps the stale ones. Before: the test sees entry 1 committed twice.

--- a/crates/hemlock_quorum/src/config.rs
+++ b/crates/hemlock_quorum/src/config.rs
@@ -13,8 +13,10 @@
     /// The life of this keeper's disk, as the storage tells it.
     pub incarnation: Incarnation,
     /// The keepers that found the cluster, and whom this keeper calls when no leader talks to it.
-    /// The one with the lowest id founds the cluster once all of them have called it on empty
-    /// disks.
+    /// The one with the lowest id founds the cluster once all of them have told it that their disks
+    /// are empty, and no other message came for a little longer than `election_max_ms`. After a
+    /// change of the set the settings should name the present keepers: founders that all run on
+    /// empty disks, out of reach of the present keepers, would found a second cluster.
     pub founders: Vec<KeeperId>,
     /// Time between a leader's heartbeats.
     pub heartbeat_ms: u64,
--- a/crates/hemlock_quorum/src/quorum.rs
+++ b/crates/hemlock_quorum/src/quorum.rs
@@ -178,6 +178,7 @@
             return;
         }
         self.started = true;
+        self.founding.start(self.now, &self.config);
         self.hear_leader();
         self.next_call = self.now;
         if let Some(snapshot) = &self.snapshot {
@@ -193,6 +194,9 @@
     }
 
     fn receive(&mut self, from: KeeperId, message: Message) {
+        if !matches!(message.body, Body::Join(_) | Body::JoinReply(_)) {
+            self.note_cluster(from);
+        }
         let for_me = message
             .to_incarnation
             .is_none_or(|meant| meant == self.config.incarnation);
--- a/crates/hemlock_quorum/src/quorum/founding.rs
+++ b/crates/hemlock_quorum/src/quorum/founding.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hemlock_types::ids::Incarnation;
+use hemlock_types::time::{DurationMs, Instant};
 
 use super::{Joiner, Quorum};
 use crate::config::QuorumConfig;
@@ -15,6 +16,9 @@
 /// Bits of the founder's incarnation from which the first term is taken.
 const FOUNDING_TERM_MASK: u64 = 0xffff;
 
+/// Heartbeats past the longest election timeout for which a founder listens.
+const LISTEN_HEARTBEATS: u64 = 2;
+
 /// Callers that are remembered, whoever they are.
 const MAX_JOINERS: usize = 64;
 
@@ -27,6 +31,9 @@
 pub(crate) struct Founding {
     may_found: bool,
     empty: bool,
+    /// Nothing is founded before, so that a leader's heartbeat or a candidate's request can show
+    /// that a cluster exists.
+    not_before: Instant,
     answers: BTreeMap<KeeperId, Incarnation>,
     /// Keepers that others have named.
     contacts: BTreeSet<KeeperId>,
@@ -37,11 +44,27 @@
         Self {
             may_found: empty && config.founders.iter().min() == Some(&config.me),
             empty,
+            not_before: Instant::ZERO,
             answers: BTreeMap::new(),
             contacts: BTreeSet::new(),
         }
     }
 
+    /// The process starts at `now`; a lone founder has nobody to listen for.
+    pub(crate) fn start(&mut self, now: Instant, config: &QuorumConfig) {
+        let alone = config.founders.iter().all(|id| *id == config.me);
+        let listen_ms = match alone {
+            true => 0,
+            false => config.election_max_ms + LISTEN_HEARTBEATS * config.heartbeat_ms,
+        };
+        self.not_before = now + DurationMs::new(listen_ms);
+    }
+
+    /// A cluster exists already.
+    pub(crate) fn forbid(&mut self) {
+        self.may_found = false;
+    }
+
     /// A cluster exists already, and this disk is about to hold its log.
     pub(crate) fn give_up(&mut self) {
         self.may_found = false;
@@ -73,7 +96,7 @@
 
     pub(super) fn on_join(&mut self, from: KeeperId, sender: Incarnation, join: Join) {
         if !join.empty {
-            self.founding.may_found = false;
+            self.founding.forbid();
         }
         if self.joiners.len() < MAX_JOINERS || self.joiners.contains_key(&from) {
             let called = self.now;
@@ -99,10 +122,16 @@
                 self.founding.answers.insert(from, sender);
                 self.found_if_ready();
             }
-            false => self.founding.may_found = false,
+            false => self.founding.forbid(),
         }
     }
 
+    /// The sender belongs to a cluster, so none is to be founded.
+    pub(super) fn note_cluster(&mut self, sender: KeeperId) {
+        self.founding.forbid();
+        self.note_contacts(vec![sender]);
+    }
+
     fn note_contacts(&mut self, members: Vec<KeeperId>) {
         let contacts = &mut self.founding.contacts;
         if self.leader.is_none() && contacts.len() + members.len() <= MAX_JOINERS {
@@ -115,7 +144,8 @@
         let answers = &self.founding.answers;
         let mut others = self.config.founders.iter();
         let complete = others.all(|id| *id == self.config.me || answers.contains_key(id));
-        if !self.founding.may_found || !complete {
+        let listened = self.now >= self.founding.not_before;
+        if !self.founding.may_found || !complete || !listened {
             return;
         }
         let founders = &self.config.founders;
--- a/crates/hemlock_quorum/tests/cluster.rs
+++ b/crates/hemlock_quorum/tests/cluster.rs
@@ -176,3 +176,37 @@
         assert!(repaired, "seed {seed}\n{}", sim.describe());
     }
 }
+
+fn change(sim: &mut Sim, change: MemberChange, done: impl FnMut(&Sim) -> bool) {
+    let token = sim.next_token();
+    let leader = leader(sim);
+    sim.feed(leader, Event::ChangeMembers { token, change });
+    assert!(
+        sim.run_ms(REPAIR_MS, done),
+        "{change:?}\n{}",
+        sim.describe()
+    );
+}
+
+#[test]
+fn founders_on_empty_disks_found_no_second_cluster_beside_the_first() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(seed, 3, 2);
+        sim.stale_settings = true;
+        assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()));
+        for added in [4, 5].map(KeeperId) {
+            change(&mut sim, MemberChange::Add(added), |sim| {
+                is_voter(sim, added)
+            });
+        }
+        for removed in [2, 3].map(KeeperId) {
+            let gone = |sim: &Sim| !is_voter(sim, removed) && sim.leader().is_some();
+            change(&mut sim, MemberChange::Remove(removed), gone);
+            sim.replace_disk(removed);
+        }
+        sim.run_ms(2_000, |_| false);
+        sim.replace_disk(KeeperId(1));
+        let repaired = sim.run_ms(REPAIR_MS, |sim| is_voter(sim, KeeperId(1)));
+        assert!(repaired, "seed {seed}\n{}", sim.describe());
+    }
+}
--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) calm: bool,
     pub(crate) tempo: Tempo,
     pub(crate) founders: Vec<KeeperId>,
+    /// Whether nobody changes the settings when the set changes.
+    pub(crate) stale_settings: bool,
     next_seq: u64,
     next_token: u64,
     pub(crate) next_incarnation: u64,
@@ -64,6 +66,7 @@
             calm: true,
             tempo: Tempo::default(),
             founders: (1..=founders).map(KeeperId).collect(),
+            stale_settings: false,
             next_seq: 0,
             next_token: 0,
             next_incarnation: 100,
@@ -129,10 +132,20 @@
         }
     }
 
+    /// The keepers that the settings name: the founders, or the present ones where an operator keeps
+    /// the settings up to date.
+    fn settings(&self) -> Vec<KeeperId> {
+        let members = self.model.members();
+        match members.is_empty() || self.stale_settings {
+            true => self.founders.clone(),
+            false => members.iter().map(|(id, _)| id).collect(),
+        }
+    }
+
     /// Starts a keeper on its disk, if it is down.
     pub(crate) fn start(&mut self, id: KeeperId) {
         let seed = self.rng.random();
-        let founders = self.founders.clone();
+        let founders = self.settings();
         let node = self.nodes.get_mut(&id).expect("a known keeper");
         if node.quorum.is_none() {
             node.boot(seed, founders, self.tempo.election_max_ms);
