--- a/bins/hemlock/src/demo/cluster.rs
+++ b/bins/hemlock/src/demo/cluster.rs
@@ -43,6 +43,8 @@
 const RETENTION_MS: u64 = 600_000;
 /// Longest wait for a process to be ready, in milliseconds.
 const READY_TIMEOUT_MS: u64 = 30_000;
+/// Longest wait for one answer about readiness, in milliseconds.
+const READY_CALL_MS: u64 = 1_000;
 /// Pause between two looks at a process, in milliseconds.
 const READY_POLL_MS: u64 = 20;
 
@@ -101,13 +103,25 @@
         for entry in &entries {
             wait_ready("an entry", &[entry.http_address()])?;
         }
-        narrator.say("2 entries are ready");
-        Ok(Self {
+        let cluster = Self {
             keepers,
             entries,
             pairs: Mutex::new(pairs),
             keeper_http,
             folder,
+        };
+        cluster.wait_endpoints()?;
+        narrator.say("2 entries are ready, and the keepers know every endpoint");
+        Ok(cluster)
+    }
+
+    /// Waits until the keepers know every endpoint.
+    fn wait_endpoints(&self) -> Result<(), DemoError> {
+        let operator = self.operator();
+        wait_until("an endpoint", || {
+            let known = operator.get("/v1/endpoints").ok();
+            let known = known.and_then(|answer| answer["endpoints"].as_array().map(Vec::len));
+            known == Some(DOMAINS.len())
         })
     }
 
@@ -277,15 +291,20 @@
 
 /// Waits until one of the addresses answers `/readyz` with 200.
 fn wait_ready(what: &str, addresses: &[SocketAddr]) -> Result<(), DemoError> {
-    let client = HttpClient::new(HttpClientConfig::default().with_timeout_ms(1_000));
-    let started = Instant::now();
-    let limit = Duration::from_millis(READY_TIMEOUT_MS);
+    let client = HttpClient::new(HttpClientConfig::default().with_timeout_ms(READY_CALL_MS));
     let is_ready = |address: &SocketAddr| {
         let call = HttpCall::new(Method::Get, *address, "/readyz");
         client.send(&call).is_ok_and(|reply| reply.status == 200)
     };
+    wait_until(what, || addresses.iter().any(is_ready))
+}
+
+/// Looks again and again until it is so.
+fn wait_until(what: &str, is_so: impl Fn() -> bool) -> Result<(), DemoError> {
+    let started = Instant::now();
+    let limit = Duration::from_millis(READY_TIMEOUT_MS);
     while started.elapsed() < limit {
-        if addresses.iter().any(is_ready) {
+        if is_so() {
             return Ok(());
         }
         std::thread::sleep(Duration::from_millis(READY_POLL_MS));
