--- a/crates/hemlock_agent/src/control.rs
+++ b/crates/hemlock_agent/src/control.rs
@@ -54,9 +54,11 @@
 
 impl Control {
     pub(crate) fn new(parts: ControlParts) -> Self {
+        let meters = Meters::new(parts.agent);
+        let clock = Arc::clone(&parts.clock);
         Self {
-            traffic: TrafficPool::new(parts.commands.clone(), Arc::clone(&parts.clock)),
-            meters: Meters::new(parts.agent),
+            traffic: TrafficPool::new(parts.commands.clone(), clock, &meters),
+            meters,
             next_tick: parts.clock.now() + TICK,
             actions: Actions::new(),
             starts: HashMap::new(),
--- a/crates/hemlock_agent/src/meters.rs
+++ b/crates/hemlock_agent/src/meters.rs
@@ -2,7 +2,7 @@
 
 use hemlock_gate::prelude::*;
 use hemlock_types::prelude::*;
-use metrics::{Label, counter, gauge};
+use metrics::{Histogram, Label, counter, gauge, histogram};
 
 /// Publishes a gate's totals under the labels of one agent.
 pub(crate) struct Meters {
@@ -18,6 +18,11 @@
         Self { labels }
     }
 
+    /// A histogram of times in milliseconds.
+    pub(crate) fn time(&self, name: &'static str) -> Histogram {
+        histogram!(name, self.labels.iter())
+    }
+
     pub(crate) fn publish(&self, counters: &Counters, status: &GateStatus) {
         self.count("hemlock_starts_total", counters.started);
         self.count("hemlock_ends_total", counters.ended);
--- a/crates/hemlock_agent/src/traffic.rs
+++ b/crates/hemlock_agent/src/traffic.rs
@@ -11,8 +11,10 @@
 use hemlock_http::prelude::*;
 use hemlock_telemetry::prelude::*;
 use hemlock_types::prelude::*;
+use metrics::Histogram;
 
 use crate::command::Command;
+use crate::meters::Meters;
 
 /// Longest time to connect to the endpoint, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -20,6 +22,9 @@
 /// Largest answer taken from the endpoint, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Microseconds in a millisecond.
+const MICROS_PER_MS: f64 = 1_000.0;
+
 /// Pause before a suspect endpoint is tried again.
 const PROBE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -49,10 +54,12 @@
     commands: Sender<Command>,
     client: HttpClient,
     clock: Arc<dyn Clock>,
+    endpoint_ms: Histogram,
+    gate_ms: Histogram,
 }
 
 impl TrafficPool {
-    pub(crate) fn new(commands: Sender<Command>, clock: Arc<dyn Clock>) -> Self {
+    pub(crate) fn new(commands: Sender<Command>, clock: Arc<dyn Clock>, meters: &Meters) -> Self {
         let (jobs, taken) = unbounded();
         let config = HttpClientConfig::default()
             .with_connect_timeout_ms(CONNECT_TIMEOUT_MS)
@@ -61,6 +68,8 @@
             commands,
             client: HttpClient::new(config),
             clock,
+            endpoint_ms: meters.time("hemlock_endpoint_ms"),
+            gate_ms: meters.time("hemlock_gate_ms"),
         };
         Self {
             jobs: Some(jobs),
@@ -138,12 +147,15 @@
     fn call(&self, run: RunKey, offer: &Offer, spec: &TaskSpec, received: Instant) {
         let sent = self.clock.now();
         let trace = Hops::of(spec);
-        trace.emit_gate(sent.micros_since(received));
+        let gate_us = sent.micros_since(received);
+        trace.emit_gate(gate_us);
+        self.gate_ms.record(gate_us as f64 / MICROS_PER_MS);
         let result = self
             .client
             .send(&endpoint_call(offer.address, spec, &trace));
         let service_us = self.clock.now().micros_since(sent);
         trace.emit_endpoint(service_us);
+        self.endpoint_ms.record(service_us as f64 / MICROS_PER_MS);
         let unreachable = matches!(result, Err(HttpClientError::NeverSent(_)));
         self.tell(Event::Ended {
             run,
