Measure claims, task starts and real agents among the slopes

Cause: the capacity page needs the cost of a claim, of a start and of an agent. Change: three more groups of points; a level of claims can be run from another scenario.

--- a/tools/bench/src/scenario/claims.rs
+++ b/tools/bench/src/scenario/claims.rs
@@ -55,20 +55,14 @@
     spec.endpoints = 0;
     spec.latency_us = 0;
     let cluster = Cluster::start(spec)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = tokio::task::LocalSet::new();
     let seconds = options.seconds.unwrap_or(LEVEL_S);
     let mut levels = Vec::new();
-    for (round, concurrency) in LEVELS.into_iter().enumerate() {
-        let level = run_level(
+    for concurrency in LEVELS {
+        levels.push(measure_level(
             &cluster,
-            round as u64,
             concurrency,
             Duration::from_secs(seconds),
-        );
-        levels.push(local.block_on(&runtime, level)?);
+        )?);
     }
     let promises_held = levels.iter().all(|level| level["refused"] == 0);
     let figures = json!({
@@ -83,6 +77,23 @@
     })
 }
 
+/// Claims for `length` with `concurrency` claims in flight.
+///
+/// # Errors
+///
+/// [`BenchError`] when no keeper leads.
+pub(crate) fn measure_level(
+    cluster: &Cluster,
+    concurrency: usize,
+    length: Duration,
+) -> Result<Value, BenchError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, run_level(cluster, concurrency, length))
+}
+
 /// A claim that waits for its answer.
 struct Waiting {
     claim: ClaimRequest,
@@ -91,7 +102,6 @@
 
 async fn run_level(
     cluster: &Cluster,
-    round: u64,
     concurrency: usize,
     length: Duration,
 ) -> Result<Value, BenchError> {
@@ -111,7 +121,7 @@
             let mut number = 0;
             while start.elapsed() < length {
                 let asked_at = Instant::now();
-                let claim = new_claim(round, claimant, number);
+                let claim = new_claim(concurrency, claimant, number);
                 match claim_once(&sender, claim).await {
                     Some(ClaimReply::Granted { .. }) => {
                         latencies_us
@@ -143,9 +153,9 @@
     }))
 }
 
-fn new_claim(round: u64, claimant: usize, number: u64) -> ClaimRequest {
+fn new_claim(level: usize, claimant: usize, number: u64) -> ClaimRequest {
     let customer = CustomerName::from("bench");
-    let name = format!("{round}-{claimant}-{number}");
+    let name = format!("{level}-{claimant}-{number}");
     ClaimRequest {
         submission: SubmissionId::derive(&customer, &name),
         digest: Digest::of_parts(&[name.as_bytes()]),
--- a/tools/bench/src/scenario/slopes.rs
+++ b/tools/bench/src/scenario/slopes.rs
@@ -16,7 +16,8 @@
 use crate::load::summary::rounded;
 use crate::options::Options;
 use crate::scenario::ScenarioOutcome;
-use crate::scenario::policy_run::{DEFAULT_POLICY, UNBOUNDED_RUNNING, spec_of};
+use crate::scenario::policy_run::{CUSTOMER, DEFAULT_POLICY, UNBOUNDED_RUNNING, spec_of};
+use crate::scenario::{claims, throughput};
 
 /// Numbers of announced endpoints.
 const ENDPOINTS: [usize; 4] = [11, 200, 800, 1_900];
@@ -26,6 +27,14 @@
 const CONTRACTS: [usize; 4] = [10, 40, 80, 160];
 /// Endpoints that stand while entries or contracts vary.
 const FEW_ENDPOINTS: usize = 11;
+/// Numbers of claims in flight.
+const CLAIMS_IN_FLIGHT: [usize; 3] = [16, 256, 1_024];
+/// Length of a level of claims.
+const CLAIMS_LENGTH: Duration = Duration::from_secs(4);
+/// Numbers of endpoints over which starts are measured.
+const START_ENDPOINTS: [usize; 3] = [11, 200, 800];
+/// Jobs of a measurement of starts.
+const START_JOBS: u64 = 400;
 /// Time that a cluster settles before it is measured.
 const SETTLE: Duration = Duration::from_secs(4);
 /// Length of one measurement, unless the options say otherwise.
@@ -43,12 +52,16 @@
     let by_endpoints = measure_endpoints(options, length)?;
     let by_entries = measure_entries(options, length)?;
     let by_contracts = measure_contracts(options)?;
+    let by_claims = measure_claims(options)?;
+    let by_starts = measure_starts(options)?;
     let figures = json!({
         "seed": options.seed,
         "seconds": length.as_secs(),
         "endpoints": by_endpoints,
         "entries": by_entries,
         "contracts": by_contracts,
+        "claims": by_claims,
+        "starts": by_starts,
     });
     Ok(ScenarioOutcome {
         figures,
@@ -70,12 +83,13 @@
     leader: RoleUse,
     followers: RoleUse,
     entry: RoleUse,
+    agent: RoleUse,
 }
 
 fn measure_endpoints(options: &Options, length: Duration) -> Result<Value, BenchError> {
     let mut points = Vec::new();
     for size in ENDPOINTS {
-        let cluster = start_cluster(options, 1)?;
+        let cluster = start_cluster(options, 1, 0)?;
         let _fleet = start_fleet(options, &cluster, size)?;
         cluster.wait_for_endpoints(size)?;
         points.push(measure(&cluster, size, length));
@@ -86,9 +100,7 @@
 fn measure_entries(options: &Options, length: Duration) -> Result<Value, BenchError> {
     let mut points = Vec::new();
     for size in ENTRIES {
-        let cluster = start_cluster(options, size)?;
-        let _fleet = start_fleet(options, &cluster, FEW_ENDPOINTS)?;
-        cluster.wait_for_endpoints(FEW_ENDPOINTS)?;
+        let cluster = start_cluster(options, size, FEW_ENDPOINTS)?;
         points.push(measure(&cluster, size, length));
     }
     Ok(figures_of(&points))
@@ -96,7 +108,7 @@
 
 /// Time and size of contract changes as contracts become more.
 fn measure_contracts(options: &Options) -> Result<Value, BenchError> {
-    let cluster = start_cluster(options, 1)?;
+    let cluster = start_cluster(options, 1, 0)?;
     let mut points = Vec::new();
     let mut applied = 0;
     for size in CONTRACTS {
@@ -122,10 +134,79 @@
     Ok(json!({ "points": points }))
 }
 
-fn start_cluster(options: &Options, entries: usize) -> Result<Cluster, BenchError> {
+/// What a claim costs the keepers, by the number of claims in flight.
+fn measure_claims(options: &Options) -> Result<Value, BenchError> {
+    let cluster = start_cluster(options, 0, 0)?;
+    let mut points = Vec::new();
+    for concurrency in CLAIMS_IN_FLIGHT {
+        let leader = cluster.leader().unwrap_or(0);
+        let before: Vec<_> = cluster
+            .keepers
+            .iter()
+            .map(|keeper| state_of(&[keeper]))
+            .collect();
+        let level = claims::measure_level(&cluster, concurrency, CLAIMS_LENGTH)?;
+        let after: Vec<_> = cluster
+            .keepers
+            .iter()
+            .map(|keeper| state_of(&[keeper]))
+            .collect();
+        let claims = level["claims_per_s"].as_f64().unwrap_or(0.0) * CLAIMS_LENGTH.as_secs_f64();
+        let cpu_us =
+            |index: usize| (after[index].usage.cpu_us - before[index].usage.cpu_us) / claims;
+        let follower = (leader + 1) % cluster.keepers.len();
+        points.push(json!({
+            "in_flight": concurrency,
+            "claims_per_s": level["claims_per_s"],
+            "p99_ms": level["p99_ms"],
+            "leader_cpu_us_per_claim": rounded(cpu_us(leader)),
+            "follower_cpu_us_per_claim": rounded(cpu_us(follower)),
+            "leader_bytes_per_claim": rounded((after[leader].bytes - before[leader].bytes) / claims),
+            "leader_resident_mb": rounded(after[leader].usage.resident_bytes as f64 / 1e6),
+        }));
+    }
+    Ok(json!({ "points": points }))
+}
+
+/// What a task start costs one entry, in jobs over lightweight agents.
+fn measure_starts(options: &Options) -> Result<Value, BenchError> {
+    let mut points = Vec::new();
+    for endpoints in START_ENDPOINTS {
+        let cluster = start_cluster(options, 1, 0)?;
+        let _fleet = start_fleet(options, &cluster, endpoints)?;
+        cluster.wait_for_endpoints(endpoints)?;
+        let contract =
+            layout::contract(&cluster.spec, CUSTOMER, 1, "interactive", UNBOUNDED_RUNNING);
+        cluster.apply_contract(&contract)?;
+        std::thread::sleep(SETTLE);
+        let entry: Vec<&Member> = cluster.entries.iter().collect();
+        let before = state_of(&entry);
+        let start = Instant::now();
+        let complete = throughput::send_jobs(&cluster, START_JOBS);
+        let elapsed_s = start.elapsed().as_secs_f64();
+        let after = state_of(&entry);
+        let tasks = (complete * throughput::JOB_TASKS as u64) as f64;
+        points.push(json!({
+            "endpoints": endpoints,
+            "jobs_complete": complete,
+            "starts_per_s": rounded(tasks / elapsed_s),
+            "entry_cpu_us_per_start": rounded((after.usage.cpu_us - before.usage.cpu_us) / tasks),
+            "entry_bytes_per_start": rounded((after.bytes - before.bytes) / tasks),
+            "entry_resident_mb": rounded(after.usage.resident_bytes as f64 / 1e6),
+        }));
+    }
+    Ok(json!({ "points": points }))
+}
+
+/// Starts a cluster with real agents for `endpoints` stand-ins.
+fn start_cluster(
+    options: &Options,
+    entries: usize,
+    endpoints: usize,
+) -> Result<Cluster, BenchError> {
     let mut spec = spec_of(options, DEFAULT_POLICY);
     spec.entries = entries;
-    spec.endpoints = 0;
+    spec.endpoints = endpoints;
     spec.latency_us = 0;
     Cluster::start(spec)
 }
@@ -160,7 +241,8 @@
     let leading: Vec<&Member> = leading.into_iter().map(|(_, member)| member).collect();
     let following: Vec<&Member> = following.into_iter().map(|(_, member)| member).collect();
     let entries: Vec<&Member> = cluster.entries.iter().collect();
-    let groups = [leading, following, entries];
+    let agents: Vec<&Member> = cluster.agents.iter().collect();
+    let groups = [leading, following, entries, agents];
     let before: Vec<_> = groups.iter().map(|group| state_of(group)).collect();
     std::thread::sleep(length);
     let after: Vec<_> = groups.iter().map(|group| state_of(group)).collect();
@@ -170,6 +252,7 @@
         leader: of(0),
         followers: of(1),
         entry: of(2),
+        agent: of(3),
     }
 }
 
@@ -227,6 +310,7 @@
         "leader": role(|point| point.leader),
         "follower": role(|point| point.followers),
         "entry": role(|point| point.entry),
+        "agent": role(|point| point.agent),
     })
 }
 
--- a/tools/bench/src/scenario/throughput.rs
+++ b/tools/bench/src/scenario/throughput.rs
@@ -15,7 +15,7 @@
 use crate::scenario::policy_run::{CUSTOMER, DEFAULT_POLICY, UNBOUNDED_RUNNING, spec_of};
 
 /// Tasks of one job, the most that a job may have.
-const JOB_TASKS: usize = 240;
+pub(crate) const JOB_TASKS: usize = 240;
 /// Jobs in flight at once.
 const JOBS_IN_FLIGHT: usize = 16;
 /// Jobs of a run unless the options say otherwise.
@@ -88,7 +88,7 @@
 }
 
 /// Sends the jobs, a few at a time, and returns how many were answered complete.
-fn send_jobs(cluster: &Cluster, jobs: u64) -> u64 {
+pub(crate) fn send_jobs(cluster: &Cluster, jobs: u64) -> u64 {
     let next = AtomicU64::new(0);
     let complete = AtomicU64::new(0);
     std::thread::scope(|scope| {
