Give the faults scenario a deadline that ends it

Cause: a task of several seconds on an endpoint 20 times slower ran to the 60 s deadline, and the scenario past its minute. Change: 20 s for the faults scenario. Conclusion: it ends by itself.

--- a/tools/bench/src/scenario/faults.rs
+++ b/tools/bench/src/scenario/faults.rs
@@ -18,6 +18,8 @@
 
 /// Time for all policies together, in seconds, unless the options say otherwise.
 const TOTAL_S: u64 = 42;
+/// Deadline of the measured requests, in milliseconds; shorter than a straggler's longest task.
+const DEADLINE_MS: u64 = 20_000;
 /// How much slower the straggling endpoint is.
 const STRAGGLE_FACTOR: u32 = 20;
 /// Endpoints that a fault strikes, by position.
@@ -41,7 +43,14 @@
     let mut results = Vec::new();
     for policy in &policies {
         let disturb = |cluster: &mut Cluster| bring_about_faults(cluster, seconds);
-        results.push(run_policy(options, policy, &trace, &ideal_us, disturb)?);
+        results.push(run_policy(
+            options,
+            policy,
+            &trace,
+            &ideal_us,
+            DEADLINE_MS,
+            disturb,
+        )?);
     }
     let promises_held = results.iter().all(|result| result.promises_held);
     let figures: Vec<_> = results.into_iter().map(|result| result.figures).collect();
--- a/tools/bench/src/scenario/latency.rs
+++ b/tools/bench/src/scenario/latency.rs
@@ -11,6 +11,8 @@
 use crate::scenario::ScenarioOutcome;
 use crate::scenario::policy_run::{DEFAULT_POLICY, network_us, policies_of, run_policy};
 
+/// Deadline of the measured requests, in milliseconds.
+const DEADLINE_MS: u64 = 60_000;
 /// Time for all policies together, in seconds, unless the options say otherwise.
 const TOTAL_S: u64 = 42;
 
@@ -34,7 +36,14 @@
     let ideal = Sample::new(ideal_us.iter().map(|us| *us as f64 / 1e3).collect());
     let mut results = Vec::new();
     for policy in &policies {
-        results.push(run_policy(options, policy, &trace, &ideal_us, |_| {})?);
+        results.push(run_policy(
+            options,
+            policy,
+            &trace,
+            &ideal_us,
+            DEADLINE_MS,
+            |_| {},
+        )?);
     }
     let promises_held = results.iter().all(|result| result.promises_held);
     let figures: Vec<_> = results.into_iter().map(|result| result.figures).collect();
--- a/tools/bench/src/scenario/policy_run.rs
+++ b/tools/bench/src/scenario/policy_run.rs
@@ -17,8 +17,6 @@
 pub(crate) const DEFAULT_POLICY: &str = "credits";
 /// The customer whose work is measured.
 pub(crate) const CUSTOMER: &str = "varjupaik";
-/// Deadline of the measured requests, in milliseconds.
-const DEADLINE_MS: u64 = 60_000;
 /// A limit that binds nothing.
 pub(crate) const UNBOUNDED_RUNNING: u32 = 100_000;
 /// Counter of every message of an entry.
@@ -71,6 +69,7 @@
     policy: &str,
     trace: &[TracedTask],
     ideal_us: &[u64],
+    deadline_ms: u64,
     disturb: impl FnOnce(&mut Cluster) + Send,
 ) -> Result<PolicyResult, BenchError> {
     let mut cluster = Cluster::start(spec_of(options, policy))?;
@@ -81,7 +80,7 @@
         service: options.deployment.service().to_owned(),
         key: contract_key(CUSTOMER),
         client_latency_us: options.deployment.client_latency_us(),
-        deadline_ms: DEADLINE_MS,
+        deadline_ms,
         key_prefix: None,
         operation: "search".to_owned(),
     };
