--- a/crates/hemlock_entry/tests/common/mod.rs
+++ b/crates/hemlock_entry/tests/common/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code, reason = "each test uses a part of it")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod relay;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -13,6 +15,8 @@
 use hemlock_standin::prelude::*;
 use hemlock_types::prelude::*;
 
+pub(crate) use relay::Relay;
+
 /// Longest time that a test waits for something to happen.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// The contract key of every test.
@@ -76,14 +80,32 @@
     }
 
     pub(crate) fn add_agent(&mut self, service_ms: u64) {
+        self.add_agent_at(service_ms, loopback(), None);
+    }
+
+    /// Adds an agent that entries reach through a relay.
+    pub(crate) fn add_relayed_agent(&mut self, service_ms: u64) -> Relay {
+        let relay = Relay::start();
+        self.add_agent_at(service_ms, loopback(), Some(relay.address));
+        let wire = self.agents.last().unwrap().wire_address();
+        relay.forward_to(wire);
+        relay
+    }
+
+    fn add_agent_at(
+        &mut self,
+        service_ms: u64,
+        wire_address: SocketAddr,
+        advertised_address: Option<SocketAddr>,
+    ) {
         let config =
             StandinConfig::new("portaal").with_service_time(ServiceTime::Fixed { ms: service_ms });
         let standin = StandinEndpoint::start(config).unwrap();
         let agent = Agent::start(AgentSettings {
             cluster: "tests".to_owned(),
             cluster_key: SecretKey::new(CLUSTER_KEY),
-            wire_address: loopback(),
-            advertised_address: None,
+            wire_address,
+            advertised_address,
             http_address: loopback(),
             domain: "harju-1".into(),
             rack: "r1".into(),
--- a/crates/hemlock_entry/tests/failures.rs
+++ b/crates/hemlock_entry/tests/failures.rs
@@ -113,3 +113,49 @@
     assert_eq!(cluster.get(entry, "/v2/anything").status, 404);
     assert_eq!(cluster.starts(), before);
 }
+
+#[test]
+fn a_silent_partition_is_found_and_its_work_is_neither_lost_nor_doubled() {
+    let mut cluster = Cluster::start(1, 1, 400);
+    let relay = cluster.add_relayed_agent(400);
+    cluster.wait_ready();
+    let partitioned = |cluster: &Cluster| cluster.standins[1].seen().started;
+    wait_for("work to reach both agents", || {
+        std::thread::scope(|scope| {
+            for _ in 0..16 {
+                scope.spawn(|| cluster.request(&cluster.entries[0], "search", "warm", None));
+            }
+        });
+        partitioned(&cluster) > 0
+    });
+    std::thread::scope(|scope| {
+        let cluster = &cluster;
+        let before = partitioned(cluster);
+        let calls: Vec<_> = (0..16)
+            .map(|index| {
+                let key = format!("silent-{index}");
+                scope.spawn(move || {
+                    cluster.request(&cluster.entries[0], "reserve", "cat", Some(&key))
+                })
+            })
+            .collect();
+        wait_for("work to start behind the relay", || {
+            partitioned(cluster) > before
+        });
+        relay.set_silent(true);
+        std::thread::sleep(std::time::Duration::from_millis(5_000));
+        let (before, started) = (partitioned(cluster), std::time::Instant::now());
+        for _ in 0..8 {
+            let reply = cluster.request(&cluster.entries[0], "search", "during", None);
+            assert_eq!(reply.status, 200, "{}", header(&reply, "Hemlock-Reason"));
+        }
+        assert_eq!(partitioned(cluster), before, "{:?}", started.elapsed());
+        relay.set_silent(false);
+        for call in calls {
+            let reply = call.join().unwrap();
+            let outcome = header(&reply, "Hemlock-Outcome").to_owned();
+            assert_eq!(outcome, "complete", "{}", header(&reply, "Hemlock-Reason"));
+        }
+    });
+    assert_eq!(cluster.most_starts_of_a_key(), 1);
+}
