Refuse a log that is shorter than at the last clean stop

Cause: a disk that lost what it had synced looked like one with an unfinished write at its end. Change: a clean stop notes the last segment and its length; a start on less is a typed error. The keeper's disk thread notes it when the control thread ends. Conclusion: what a clean stop confirmed is there, or the keeper doesn't start.

--- a/crates/hemlock_keeper/src/shell/disk.rs
+++ b/crates/hemlock_keeper/src/shell/disk.rs
@@ -27,8 +27,14 @@
             Err(error) => Input::DiskFailed(error),
         };
         let failed = matches!(input, Input::DiskFailed(_));
-        if control.send(input).is_err() || failed {
-            return;
+        let ended = control.send(input).is_err();
+        match (failed, ended) {
+            (true, _) => return,
+            (false, true) => break,
+            (false, false) => {}
         }
     }
+    if let Err(error) = storage.close() {
+        tracing::warn!(%error, "the clean stop could not be noted");
+    }
 }
--- a/crates/hemlock_quorum/src/storage.rs
+++ b/crates/hemlock_quorum/src/storage.rs
@@ -1,5 +1,6 @@
 //! The keeper's disk behind a trait.
 
+mod clean_stop;
 mod disk_io;
 mod error;
 mod file;
@@ -53,6 +54,16 @@
     ///
     /// Fails when the disk can't be written.
     fn install_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError>;
+
+    /// Notes a clean stop, after which nothing is written. A later start then finds out whether the
+    /// disk still holds all that it had confirmed. Leaving it out is a crash, which loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk can't be written.
+    fn close(&mut self) -> Result<(), StorageError> {
+        Ok(())
+    }
 }
 
 /// Does all waiting work in order, adjacent batches by one sync, and returns the last work's
--- a/crates/hemlock_quorum/src/storage/file.rs
+++ b/crates/hemlock_quorum/src/storage/file.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use super::clean_stop::CleanStop;
 use super::disk_io::{self, DiskIo, StorageStats};
 use super::frame::corrupt;
 use super::identity::{self, DiskIdentity};
@@ -205,6 +206,7 @@
             let path = Segment::path(&self.io, first);
             return Err(corrupt(&path, 0, "the segment is missing"));
         };
+        CleanStop::check(&self.io, &names, last.end())?;
         self.active = Some(last.open(&self.io)?);
         self.hard_state = state.hard_state;
         Ok(state)
@@ -228,4 +230,11 @@
             storage.put_snapshot(snapshot, first)
         })
     }
+
+    fn close(&mut self) -> Result<(), StorageError> {
+        self.guard(|storage| match storage.segments.last() {
+            Some(last) => last.end().write(&storage.io),
+            None => Ok(()),
+        })
+    }
 }
--- a/crates/hemlock_quorum/src/storage/header.rs
+++ b/crates/hemlock_quorum/src/storage/header.rs
@@ -17,6 +17,7 @@
     Identity,
     Segment,
     Snapshot,
+    CleanStop,
 }
 
 impl FileKind {
@@ -25,6 +26,7 @@
             Self::Identity => b"HEMLK-ID",
             Self::Segment => b"HEMLKLOG",
             Self::Snapshot => b"HEMLKSNP",
+            Self::CleanStop => b"HEMLKEND",
         }
     }
 
--- a/crates/hemlock_quorum/src/storage/segment.rs
+++ b/crates/hemlock_quorum/src/storage/segment.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::StorageError;
+use super::clean_stop::CleanStop;
 use super::disk_io::{self, DiskIo};
 use super::frame::{self, corrupt};
 use super::header::{FILE_HEADER_BYTES, FileKind};
@@ -40,6 +41,8 @@
     pub(super) number: u64,
     /// The highest entry that was ever written to it.
     pub(super) highest: LogIndex,
+    /// Its length in bytes, without what is not durable.
+    pub(super) length_bytes: u64,
 }
 
 impl Segment {
@@ -58,6 +61,7 @@
         Ok(Self {
             number,
             highest: LogIndex::ZERO,
+            length_bytes: bytes.len() as u64,
         })
     }
 
@@ -67,6 +71,14 @@
         Ok(bytes == first_bytes(HardState::default())?)
     }
 
+    /// Where the log ends, if this is its last segment.
+    pub(super) fn end(&self) -> CleanStop {
+        CleanStop {
+            segment: self.number,
+            length_bytes: self.length_bytes,
+        }
+    }
+
     pub(super) fn open(&self, io: &DiskIo) -> Result<File, StorageError> {
         let path = Self::path(io, self.number);
         let file = OpenOptions::new().append(true).open(&path);
@@ -85,8 +97,10 @@
             entries: &batch.entries,
         };
         let bytes = frame::encode(&record)?;
+        io.append(file, &Self::path(io, self.number), &bytes)?;
         self.note(&batch.entries);
-        io.append(file, &Self::path(io, self.number), &bytes)
+        self.length_bytes += bytes.len() as u64;
+        Ok(())
     }
 
     fn note(&mut self, entries: &[Entry]) {
@@ -109,6 +123,7 @@
         let mut segment = Self {
             number,
             highest: LogIndex::ZERO,
+            length_bytes: frames.end as u64,
         };
         for (offset, payload) in frames.payloads {
             let record: Record = frame::decode(&path, offset, payload)?;
