Let the stand-in's hasty caller give up after 50 ms again

Cause: without its thread for each call, the HTTP client library heeds only the time between two reads, so that the test waited for the default of 30 s.

--- a/crates/hemlock_standin/tests/standin.rs
+++ b/crates/hemlock_standin/tests/standin.rs
@@ -9,7 +9,7 @@
     let response = attohttpc::post(format!("http://{address}/portal/hold"))
         .header("Hemlock-Submission", "s")
         .header("Hemlock-Task", "0")
-        .timeout(Duration::from_millis(2_000))
+        .read_timeout(Duration::from_millis(2_000))
         .text(body)
         .send()?;
     let status = response.status().as_u16();
@@ -66,7 +66,7 @@
 fn sees_cut_callers() {
     let endpoint = StandinEndpoint::start(StandinConfig::new("portal")).expect("a free port");
     let hasty = attohttpc::post(format!("http://{}/portal/hold", endpoint.address()))
-        .timeout(Duration::from_millis(50))
+        .read_timeout(Duration::from_millis(50))
         .text(r#"{"work_ms":60000}"#)
         .send();
     assert!(hasty.is_err());
