Bring back the killed endpoint in the faults scenario; read counters by their common names

The entry's counters have the common names now. Change: the killed agent starts again a fifth of the trace later.

--- a/tools/bench/src/scenario/faults.rs
+++ b/tools/bench/src/scenario/faults.rs
@@ -92,5 +92,7 @@
     sleep(fifth);
     cluster.agents[KILLED].process.kill();
     sleep(fifth);
+    // An agent that can't be started again shows as capacity that stays away.
+    let _ = cluster.agents[KILLED].process.restart();
     cluster.agents[STOPPED].process.terminate();
 }
--- a/tools/bench/src/scenario/policy_run.rs
+++ b/tools/bench/src/scenario/policy_run.rs
@@ -20,9 +20,9 @@
 /// A limit that binds nothing.
 pub(crate) const UNBOUNDED_RUNNING: u32 = 100_000;
 /// Counter of every message of an entry.
-const MESSAGES: &str = "hemlock_entry_messages_total";
+const MESSAGES: &str = "hemlock_messages_total";
 /// Counter of messages that helped no task.
-const WASTED: &str = "hemlock_entry_messages_wasted_total";
+const WASTED: &str = "hemlock_wasted_messages_total";
 
 /// The cluster that the options ask for, with the given policy.
 pub(crate) fn spec_of(options: &Options, policy: &str) -> Spec {
