--- a/tools/bench/src/cluster/metrics.rs
+++ b/tools/bench/src/cluster/metrics.rs
@@ -17,7 +17,8 @@
     /// Adds what the program at `address` reports; a program that does not answer adds nothing.
     pub(crate) fn add_from(&mut self, address: SocketAddr) {
         let response = attohttpc::get(format!("http://{address}/metrics"))
-            .timeout(TIMEOUT)
+            .connect_timeout(TIMEOUT)
+            .read_timeout(TIMEOUT)
             .send();
         let text = response
             .and_then(attohttpc::Response::text)
--- a/tools/bench/src/cluster/running.rs
+++ b/tools/bench/src/cluster/running.rs
@@ -315,7 +315,8 @@
     };
     let text = body.map(Value::to_string).unwrap_or_default();
     let response = request
-        .timeout(CALL_TIMEOUT)
+        .connect_timeout(CALL_TIMEOUT)
+        .read_timeout(CALL_TIMEOUT)
         .header("Authorization", format!("Bearer {OPERATOR_KEY}"))
         .header("Content-Type", "application/json")
         .text(text)
@@ -330,7 +331,8 @@
     let start = Instant::now();
     while start.elapsed() < READY_LIMIT {
         match attohttpc::get(format!("http://{address}/readyz"))
-            .timeout(CALL_TIMEOUT)
+            .connect_timeout(CALL_TIMEOUT)
+            .read_timeout(CALL_TIMEOUT)
             .send()
         {
             Ok(response) if response.is_success() => return Ok(()),
--- a/tools/bench/src/scenario/soak/callers.rs
+++ b/tools/bench/src/scenario/soak/callers.rs
@@ -177,7 +177,8 @@
     let url = format!("http://{}/v1/jobs/{}", site.entries[entry], submission.name);
     // Whatever a cancellation is answered, the submission's own calls tell how it ended.
     let _ = attohttpc::delete(url)
-        .timeout(CALL_TIMEOUT)
+        .connect_timeout(CALL_TIMEOUT)
+        .read_timeout(CALL_TIMEOUT)
         .header(
             "Authorization",
             format!("Bearer {}", contract_key(CUSTOMER)),
