--- a/crates/hemlock_entry/src/edge/handler.rs
+++ b/crates/hemlock_entry/src/edge/handler.rs
@@ -176,29 +176,23 @@
     }
 
     fn submit(&self, request: &HttpRequest, path: (&str, &str), responder: Responder) {
-        let started = std::time::Instant::now();
+        let arrival = Arrival::of(request);
         match self.take_request(request, path.0, path.1) {
             Err(fault) => self.refuse(request, &fault, responder),
-            Ok(submit) => self.forward(submit, CallShape::Request, started, responder),
+            Ok(submit) => self.forward(submit, CallShape::Request, &arrival, responder),
         }
     }
 
     fn submit_job(&self, request: &HttpRequest, responder: Responder) {
-        let started = std::time::Instant::now();
+        let arrival = Arrival::of(request);
         match self.take_job(request) {
             Err(fault) => self.refuse(request, &fault, responder),
-            Ok((name, submit)) => self.forward(submit, CallShape::Job(name), started, responder),
+            Ok((name, submit)) => self.forward(submit, CallShape::Job(name), &arrival, responder),
         }
     }
 
-    fn forward(
-        &self,
-        submit: Submit,
-        shape: CallShape,
-        started: std::time::Instant,
-        responder: Responder,
-    ) {
-        emit_admit_span(&submit.traceparent, started);
+    fn forward(&self, submit: Submit, shape: CallShape, arrival: &Arrival, responder: Responder) {
+        emit_admit_span(&submit.traceparent, arrival);
         self.post(Call {
             traceparent: submit.traceparent.clone(),
             kind: CallKind::Submit(Box::new(submit)),
@@ -314,7 +308,23 @@
     })
 }
 
-fn emit_admit_span(traceparent: &Bytes, started: std::time::Instant) {
+/// When a request arrived, and the span of its caller; zero when it names none.
+struct Arrival {
+    at: std::time::Instant,
+    caller_span: u64,
+}
+
+impl Arrival {
+    fn of(request: &HttpRequest) -> Self {
+        let caller = request.header("traceparent").and_then(TraceContext::parse);
+        Self {
+            at: std::time::Instant::now(),
+            caller_span: caller.map_or(0, |caller| caller.span_id),
+        }
+    }
+}
+
+fn emit_admit_span(traceparent: &Bytes, arrival: &Arrival) {
     let header = std::str::from_utf8(traceparent).ok();
     let Some(context) = header.and_then(TraceContext::parse) else {
         return;
@@ -322,8 +332,8 @@
     let record = SpanRecord {
         hop: Hop::Admit,
         context,
-        parent_id: context.span_id,
-        duration_micros: u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX),
+        parent_id: arrival.caller_span,
+        duration_micros: u64::try_from(arrival.at.elapsed().as_micros()).unwrap_or(u64::MAX),
     };
     record.emit();
 }
