Link the router's settings to their constructor

Cause: the documentation build failed on a link to a default that does not exist. Change: the link names the constructor. Conclusion: the documentation builds without warnings.

--- a/crates/hemlock_router/src/settings.rs
+++ b/crates/hemlock_router/src/settings.rs
@@ -2,7 +2,7 @@
 
 use hemlock_types::prelude::*;
 
-/// How the router decides; [`RouterSettings::default`] suits the deployments of the guide.
+/// How the router decides; [`RouterSettings::new`] suits the deployments of the guide.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
     /// This entry.
