Give the capacity page, a report of plots, and the bench's own floor

Cause: the capacity page did not stand; the share of the bench in a response time was unknown; a run at 16 entries and 110 endpoints measured the bench's one relay thread; runs failed when an outgoing connection took a port that a program was to listen on; the keepers' sync time had another unit than every other histogram.

--- a/crates/hemlock_keeper/src/shell/disk.rs
+++ b/crates/hemlock_keeper/src/shell/disk.rs
@@ -7,6 +7,9 @@
 
 use super::input::Input;
 
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+
 /// Does all work until the control thread ends.
 pub(super) fn run(
     mut storage: Box<dyn Storage>,
@@ -15,12 +18,12 @@
     instance: &str,
 ) {
     let label = instance.to_owned();
-    let sync_s = metrics::histogram!("hemlock_keeper_sync_seconds", "instance" => label);
+    let sync_ms = metrics::histogram!("hemlock_keeper_sync_ms", "instance" => label);
     while let Ok(first) = work.recv() {
         let waiting = first.into_iter().chain(work.try_iter().flatten());
         let started = Instant::now();
         let done = perform(storage.as_mut(), waiting);
-        sync_s.record(started.elapsed());
+        sync_ms.record(started.elapsed().as_secs_f64() * MS_PER_S);
         let input = match done {
             Ok(Some(up_to)) => Input::Synced(up_to),
             Ok(None) => continue,
--- a/tools/bench/src/cluster/layout.rs
+++ b/tools/bench/src/cluster/layout.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use hemlock_types::digest::Digest;
 use serde_json::{Value, json};
@@ -13,6 +14,10 @@
 pub(crate) const CLUSTER_KEY: &str = "bench-cluster-key";
 /// Key that operators present.
 pub(crate) const OPERATOR_KEY: &str = "bench-operator-key";
+/// Ports that the bench gives out.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// How far apart two runs of the bench begin to look for free ports.
+const PORTS_PER_PROCESS: u32 = 977;
 /// Cores of each worker.
 const WORKER_CORES: u32 = 64;
 /// Memory of each worker in megabytes.
@@ -58,17 +63,15 @@
 
 /// Draws free loopback addresses.
 ///
+/// Their ports lie below those that the system gives to outgoing connections, which could take
+/// a port between this look at it and the start of its program.
+///
 /// # Errors
 ///
-/// [`BenchError::Io`] when there are none.
+/// [`BenchError::NotReady`] when every port is taken.
 pub(crate) fn free_addresses(count: usize) -> Result<Vec<Addresses>, BenchError> {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let listeners = (0..count * 3)
-        .map(|_| TcpListener::bind(any))
-        .collect::<Result<Vec<_>, _>>()?;
-    let addresses = listeners
-        .iter()
-        .map(TcpListener::local_addr)
+    let addresses = (0..count * 3)
+        .map(|_| free_address())
         .collect::<Result<Vec<_>, _>>()?;
     let group = |three: &[SocketAddr]| Addresses {
         wire: three[0],
@@ -78,6 +81,20 @@
     Ok(addresses.chunks(3).map(group).collect())
 }
 
+fn free_address() -> Result<SocketAddr, BenchError> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id() * PORTS_PER_PROCESS;
+    for _ in PORTS {
+        let number = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + (number % u32::from(PORTS.end - PORTS.start)) as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(BenchError::NotReady("every port of the bench is taken"))
+}
+
 /// Settings of keeper `index`.
 pub(crate) fn keeper_settings(
     spec: &Spec,
--- a/tools/bench/src/cluster/running.rs
+++ b/tools/bench/src/cluster/running.rs
@@ -58,7 +58,7 @@
     /// Silence of the relay in front of each agent; empty without relays.
     pub(crate) silences: Vec<Arc<Silence>>,
     host: StandinHost,
-    _relays: Option<Relays>,
+    _relays: Vec<Relays>,
     folder: TempDir,
 }
 
@@ -82,11 +82,11 @@
             endpoints: Vec::new(),
             silences: Vec::new(),
             host: StandinHost::start(ENDPOINT_THREADS)?,
-            _relays: None,
+            _relays: Vec::new(),
             folder,
         };
         if let Some((relays, silences)) = relays {
-            cluster._relays = Some(relays);
+            cluster._relays = relays;
             cluster.silences = silences;
         }
         cluster.start_keepers(&keeper_addresses)?;
@@ -276,8 +276,11 @@
     }
 }
 
+/// Groups of relays, each with threads of its own, so that no thread is a bottleneck.
+const RELAY_GROUPS: usize = 4;
+
 /// The relays of a run, with the silence of each.
-type StartedRelays = (Relays, Vec<Arc<Silence>>);
+type StartedRelays = (Vec<Relays>, Vec<Arc<Silence>>);
 
 fn start_relays(
     spec: &Spec,
@@ -287,10 +290,13 @@
         agents.iter_mut().for_each(|at| at.reached = at.wire);
         return Ok(None);
     }
-    let relays = Relays::start(spec.latency_us)?;
+    let relays = (0..RELAY_GROUPS)
+        .map(|_| Relays::start(spec.latency_us))
+        .collect::<Result<Vec<_>, _>>()?;
     let silences = agents
         .iter()
-        .map(|at| relays.add(at.reached, at.wire))
+        .zip(relays.iter().cycle())
+        .map(|(at, group)| group.add(at.reached, at.wire))
         .collect::<Result<Vec<_>, _>>()?;
     Ok(Some((relays, silences)))
 }
--- a/tools/bench/src/error.rs
+++ b/tools/bench/src/error.rs
@@ -49,6 +49,12 @@
             source(source)
             from()
         }
+        /// A report could not be made.
+        Report(source: hemlock_bench::report::ReportError) {
+            display("{source}")
+            source(source)
+            from()
+        }
         /// Figures could not be written.
         Json(source: serde_json::Error) {
             display("{source}")
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -32,7 +32,30 @@
         println!("{}", options::HELP);
         return Ok(true);
     }
-    let outcome = scenario::run(&options)?;
+    match options.scenario.as_str() {
+        "capacity" => print_capacity()?,
+        "report" => print_report()?,
+        _ => return run_scenario(&options),
+    }
+    Ok(true)
+}
+
+fn run_scenario(options: &Options) -> Result<bool, BenchError> {
+    let outcome = scenario::run(options)?;
     println!("{}", outcome.figures);
     Ok(outcome.promises_held)
 }
+
+/// Prints the capacity page's figures from recorded slopes on standard input.
+fn print_capacity() -> Result<(), BenchError> {
+    let slopes = serde_json::from_reader(std::io::stdin())?;
+    print!("{}", hemlock_bench::capacity::render_figures(&slopes));
+    Ok(())
+}
+
+/// Prints a page of plots from recorded figures on standard input.
+fn print_report() -> Result<(), BenchError> {
+    let lines = std::io::read_to_string(std::io::stdin())?;
+    print!("{}", hemlock_bench::report::render_report(&lines)?);
+    Ok(())
+}
--- a/tools/bench/src/options.rs
+++ b/tools/bench/src/options.rs
@@ -17,6 +17,8 @@
   keeper-loss      leading keeper killed under load, then another after its repair
   contract-change  hundreds of racing and resent changes under load
   slopes           cost of each role by endpoints, entries and contracts
+  report           one HTML page with plots, from recorded latency figures on standard input
+  capacity         the capacity page's figures, from recorded slopes on standard input
   soak             random failures for minutes, every promise checked from outside
 
 Options
@@ -28,6 +30,7 @@
   --endpoints N        endpoint instances                     [11]
   --policy P           a policy; may be repeated              [all]
   --seconds S          length of the trace of each policy
+  --keyed              non-idempotent requests with a key in place of searches
   --minutes M          length of a soak                       [10]
   --sync-delay-ms D    delay added to each sync of a keeper   [0]
   --changes N          contract changes                       [300]
@@ -45,6 +48,7 @@
     pub(crate) endpoints: usize,
     pub(crate) policies: Vec<String>,
     pub(crate) seconds: Option<u64>,
+    pub(crate) keyed: bool,
     pub(crate) minutes: u64,
     pub(crate) sync_delay_ms: u64,
     pub(crate) changes: u64,
@@ -124,6 +128,7 @@
                 Long("endpoints") => options.endpoints = parser.value()?.parse()?,
                 Long("policy") => options.policies.push(parser.value()?.string()?),
                 Long("seconds") => options.seconds = Some(parser.value()?.parse()?),
+                Long("keyed") => options.keyed = true,
                 Long("minutes") => options.minutes = parser.value()?.parse()?,
                 Long("sync-delay-ms") => options.sync_delay_ms = parser.value()?.parse()?,
                 Long("changes") => options.changes = parser.value()?.parse()?,
@@ -146,6 +151,7 @@
             endpoints: 11,
             policies: Vec::new(),
             seconds: None,
+            keyed: false,
             minutes: 10,
             sync_delay_ms: 0,
             changes: 300,
--- a/tools/bench/src/scenario/latency.rs
+++ b/tools/bench/src/scenario/latency.rs
@@ -9,6 +9,7 @@
 use crate::load::trace::{Arrivals, draw_trace};
 use crate::options::Options;
 use crate::scenario::ScenarioOutcome;
+use crate::scenario::floor::measure_floor_ms;
 use crate::scenario::policy_run::{DEFAULT_POLICY, network_us, policies_of, run_policy};
 
 /// Deadline of the measured requests, in milliseconds.
@@ -34,6 +35,7 @@
     );
     let ideal_us = ideal_response_us(&trace, slots, network_us(options));
     let ideal = Sample::new(ideal_us.iter().map(|us| *us as f64 / 1e3).collect());
+    let floor_ms = measure_floor_ms(options)?;
     let mut results = Vec::new();
     for policy in &policies {
         results.push(run_policy(
@@ -54,7 +56,9 @@
         "endpoints": options.endpoints,
         "seed": options.seed,
         "seconds": seconds,
+        "keyed": options.keyed,
         "default": DEFAULT_POLICY,
+        "bench_floor_ms": rounded(floor_ms),
         "ideal": {
             "mean_ms": rounded(ideal.mean()),
             "p50_ms": rounded(ideal.quantile(0.5)),
--- a/tools/bench/src/scenario/mod.rs
+++ b/tools/bench/src/scenario/mod.rs
@@ -4,6 +4,7 @@
 mod contract_change;
 mod decisions;
 mod faults;
+mod floor;
 mod keeper_loss;
 mod latency;
 mod policy_run;
--- a/tools/bench/src/scenario/policy_run.rs
+++ b/tools/bench/src/scenario/policy_run.rs
@@ -21,6 +21,12 @@
 pub(crate) const UNBOUNDED_RUNNING: u32 = 100_000;
 /// Counter of every message of an entry.
 const MESSAGES: &str = "hemlock_messages_total";
+/// Time that tasks waited in the entries, in milliseconds.
+const QUEUED_SUM: &str = "hemlock_entry_queued_ms_sum";
+const QUEUED_COUNT: &str = "hemlock_entry_queued_ms_count";
+/// Time between entry and endpoint beyond the endpoint's own, relays included, in milliseconds.
+const OVERHEAD_SUM: &str = "hemlock_entry_overhead_ms_sum";
+const OVERHEAD_COUNT: &str = "hemlock_entry_overhead_ms_count";
 /// Counter of messages that helped no task.
 const WASTED: &str = "hemlock_wasted_messages_total";
 
@@ -75,14 +81,18 @@
     let mut cluster = Cluster::start(spec_of(options, policy))?;
     let limits = contract(&cluster.spec, CUSTOMER, 1, "interactive", UNBOUNDED_RUNNING);
     cluster.apply_contract(&limits)?;
+    let operation = match options.keyed {
+        true => "reserve",
+        false => "search",
+    };
     let target = Target {
         entries: cluster.entry_addresses(),
         service: options.deployment.service().to_owned(),
         key: contract_key(CUSTOMER),
         client_latency_us: options.deployment.client_latency_us(),
         deadline_ms,
-        key_prefix: None,
-        operation: "search".to_owned(),
+        key_prefix: options.keyed.then(|| policy.to_owned()),
+        operation: operation.to_owned(),
     };
     let before = cluster.counters();
     let seen = std::thread::scope(|scope| {
@@ -125,7 +135,9 @@
             .collect(),
     );
     let ideal = Sample::new(ideal_us.iter().map(|us| *us as f64 / 1e3).collect());
-    let per_task = |name| (after.sum(name) - before.sum(name)) / trace.len().max(1) as f64;
+    let grown = |name: &str| after.sum(name) - before.sum(name);
+    let per_task = |name| grown(name) / trace.len().max(1) as f64;
+    let entry_mean_ms = |sum: &str, count: &str| rounded(grown(sum) / grown(count).max(1.0));
     let duplicate_starts = cluster.duplicate_starts();
     let ratio = |share| rounded(response.quantile(share) / ideal.quantile(share).max(1e-9));
     let unanswered = trace.len() - seen.len() + count(Verdict::NoAnswer);
@@ -138,6 +150,8 @@
         "excess_max_ms": rounded(excess.max()),
         "p50_ratio": ratio(0.5),
         "p99_ratio": ratio(0.99),
+        "entry_queued_mean_ms": entry_mean_ms(QUEUED_SUM, QUEUED_COUNT),
+        "entry_overhead_mean_ms": entry_mean_ms(OVERHEAD_SUM, OVERHEAD_COUNT),
         "response_mean_ms": rounded(response.mean()),
         "goodput_ratio": rounded(complete.len() as f64 / trace.len().max(1) as f64),
         "wasted_per_task": rounded(per_task(WASTED)),
--- a/tools/bench/src/scenario/slopes.rs
+++ b/tools/bench/src/scenario/slopes.rs
@@ -188,6 +188,7 @@
         let tasks = (complete * throughput::JOB_TASKS as u64) as f64;
         points.push(json!({
             "endpoints": endpoints,
+            "jobs": START_JOBS,
             "jobs_complete": complete,
             "starts_per_s": rounded(tasks / elapsed_s),
             "entry_cpu_us_per_start": rounded((after.usage.cpu_us - before.usage.cpu_us) / tasks),
