Ask only agents that a blocked claim allows

Change: a task that finds no endpoint although slots are held makes the entry ask agents of its own plan and take other questions back; a claim names agents that have granted slots before others that were looked at.

--- a/crates/hemlock_router/src/router/claim.rs
+++ b/crates/hemlock_router/src/router/claim.rs
@@ -20,6 +20,8 @@
 const CLAIM_RETRY_DOUBLINGS_MAX: u32 = 4;
 /// Claims that may fail in a row before the submission is given up.
 const CLAIM_FAILURES_MAX: u32 = 10;
+/// Endpoints that are looked at for each one that a claim may name.
+const PLAN_LOOKS: usize = 4;
 /// Shortest pause before a submission that another entry runs is asked for again.
 const BUSY_MIN_MS: u64 = 20;
 /// Longest pause before a submission that another entry runs is asked for again.
@@ -54,7 +56,8 @@
     }
 
     /// The endpoints that a claim may name: every usable one, or a random part of a large
-    /// service, so that a later owner has few agents to fence.
+    /// service, so that a later owner has few agents to fence. Those that have granted a slot
+    /// come before the others that were looked at.
     fn choose_plan(&mut self, service: crate::queue::ServiceKey, tasks: usize) -> Vec<EndpointKey> {
         let all = self.fleet.of_service(service);
         let usable = |key: &EndpointKey| {
@@ -68,7 +71,15 @@
         };
         let (after, before) = all.split_at(offset);
         let rotated = before.iter().chain(after);
-        let mut plan: Vec<_> = rotated.copied().filter(usable).take(most).collect();
+        let looked_at = rotated.copied().filter(usable).take(most * PLAN_LOOKS);
+        let mut plan: Vec<_> = looked_at.collect();
+        let has_granted = |key: &EndpointKey| {
+            self.fleet
+                .get(*key)
+                .is_some_and(|endpoint| endpoint.credits > 0)
+        };
+        plan.sort_by_key(|key| !has_granted(key));
+        plan.truncate(most);
         if plan.is_empty() {
             plan = all.iter().copied().take(most).collect();
         }
--- a/crates/hemlock_router/src/router/dispatch.rs
+++ b/crates/hemlock_router/src/router/dispatch.rs
@@ -34,6 +34,7 @@
             return;
         }
         let mut aside = Vec::new();
+        let mut blocked = None;
         while let Some(head) = self.service(service).queue.head() {
             match self.inspect(now, head) {
                 Verdict::Gone => self.service(service).queue.drop_head(head),
@@ -41,11 +42,14 @@
                 Verdict::Hopeless => self.drop_hopeless(service, head, out),
                 Verdict::Ready => match self.place(head.task) {
                     Some(endpoint) => self.start_head(now, service, head, endpoint, out),
-                    None if self.may_pass_over(service, head, aside.len()) => {
+                    None => {
+                        blocked.get_or_insert(head.task);
+                        if !self.may_pass_over(service, head, aside.len()) {
+                            break;
+                        }
                         self.service(service).queue.drop_head(head);
                         aside.push(head);
                     }
-                    None => break,
                 },
             }
         }
@@ -53,7 +57,7 @@
             let queue = &mut self.service(service).queue;
             queue.push_front(head.level, head.contract, head.task);
         }
-        self.update_wants(now, service, out);
+        self.update_wants(now, service, blocked, out);
     }
 
     fn inspect(&self, now: Instant, head: Head) -> Verdict {
--- a/crates/hemlock_router/src/router/wants.rs
+++ b/crates/hemlock_router/src/router/wants.rs
@@ -11,6 +11,7 @@
 use crate::fleet::EndpointKey;
 use crate::queue::ServiceKey;
 use crate::timers::Timer;
+use crate::work::TaskRef;
 
 /// Agents asked at first for each waiting task.
 const FIRST_ASKED: usize = 2;
@@ -45,12 +46,24 @@
 }
 
 impl Router {
-    /// Asks for slots, or takes questions back, as the queue needs.
-    pub(super) fn update_wants(&mut self, now: Instant, service: ServiceKey, out: &mut Actions) {
+    /// Asks for slots, or takes questions back, as the queue needs. `blocked` is the first task
+    /// that found no endpoint; slots that its claim does not allow are no room for it.
+    pub(super) fn update_wants(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        blocked: Option<TaskRef>,
+        out: &mut Actions,
+    ) {
         if !self.placement.asks_for_slots() {
             return;
         }
-        if self.services[service.0 as usize].queue.is_empty() || self.placement.has_room(service) {
+        let has_room = self.placement.has_room(service);
+        let plan = blocked
+            .filter(|_| has_room)
+            .and_then(|task| self.plan_of(task));
+        let idle = self.services[service.0 as usize].queue.is_empty();
+        if idle || (has_room && plan.is_none()) {
             self.linger(now, service, out);
             return;
         }
@@ -64,10 +77,30 @@
             self.linger(now, service, out);
             return;
         }
-        self.widen(now, service, waiting);
+        if let Some(plan) = &plan {
+            self.ask_only(service, plan, out);
+        }
+        self.widen(now, service, waiting, plan.as_deref());
         self.ask(service, waiting, out);
     }
 
+    /// The endpoints that the claim of a task's submission allows.
+    fn plan_of(&self, task: TaskRef) -> Option<Vec<EndpointKey>> {
+        let submission = self.works.get(task.work)?.submission.as_ref()?;
+        Some(submission.plan().to_vec())
+    }
+
+    /// Takes back what agents outside `plan` were asked.
+    fn ask_only(&mut self, service: ServiceKey, plan: &[EndpointKey], out: &mut Actions) {
+        let asked = std::mem::take(&mut self.service(service).wants.asked);
+        let (kept, outside): (Vec<_>, Vec<_>) =
+            asked.into_iter().partition(|key| plan.contains(key));
+        self.service(service).wants.asked = kept;
+        for key in outside {
+            self.take_want_back(key, out);
+        }
+    }
+
     fn startable(&self, now: Instant, service: ServiceKey) -> usize {
         let contracts = &self.contracts;
         let queue = &self.services[service.0 as usize].queue;
@@ -81,7 +114,13 @@
     }
 
     /// Decides how many agents to ask, and adds agents up to that number.
-    fn widen(&mut self, now: Instant, service: ServiceKey, waiting: usize) {
+    fn widen(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        waiting: usize,
+        plan: Option<&[EndpointKey]>,
+    ) {
         let most = self.fleet.of_service(service).len().min(MOST_ASKED);
         let wants = &mut self.services[service.0 as usize].wants;
         match wants.target {
@@ -98,12 +137,12 @@
         wants.look_at = now + DurationMs::new(LOOK_MS);
         let (target, widen_at) = (wants.target, wants.widen_at);
         self.timers.set(widen_at, Timer::Wants(service));
-        self.add_asked(service, target);
+        self.add_asked(service, target, plan);
     }
 
     /// Adds agents, of a few random ones the one with the fewest starts of this entry each time.
-    fn add_asked(&mut self, service: ServiceKey, target: usize) {
-        let all = self.fleet.of_service(service);
+    fn add_asked(&mut self, service: ServiceKey, target: usize, plan: Option<&[EndpointKey]>) {
+        let all = plan.unwrap_or_else(|| self.fleet.of_service(service));
         if all.is_empty() {
             return;
         }
--- a/crates/hemlock_router/tests/decisions.rs
+++ b/crates/hemlock_router/tests/decisions.rs
@@ -377,3 +377,40 @@
     site.settle(slow, first.request, whole(200));
     assert_eq!(site.router.in_flight(), 0);
 }
+
+#[test]
+fn slots_that_a_claim_does_not_allow_are_no_room_for_its_tasks() {
+    let mut site = site(60);
+    site.answering = false;
+    site.submit_tasks(CUSTOMER, Some("k"), &[(0, 0)], None);
+    let claim = site.others.iter().find_map(|action| match action {
+        Action::Claim { claim, .. } => Some(claim.plan.clone()),
+        _ => None,
+    });
+    let plan = claim.expect("a claim");
+    assert!(plan.len() < 60, "the claim allows a part of the service");
+    for agent in &plan {
+        let (agent, slots) = (*agent, SLOTS);
+        site.tell(Event::Recall {
+            agent,
+            slots,
+            ticket: 0,
+        });
+    }
+    grant_claim(&mut site, 1, None);
+    assert!(
+        site.starts.is_empty(),
+        "no allowed agent has granted a slot"
+    );
+    let wanted = site.others.iter().find_map(|action| match action {
+        Action::Want { agent, count } if *count > 0 => Some(*agent),
+        _ => None,
+    });
+    let agent = wanted.expect("an agent is asked although others have granted slots");
+    assert!(
+        plan.contains(&agent),
+        "the agent is one that the claim allows"
+    );
+    site.tell(Event::Granted { agent, slots: 1 });
+    assert_eq!(site.starts.len(), 1);
+}
