Take a refusal of a second sending as no proof for the first

A start was lost with its connection and sent again to the same agent; the gate, full by then, refused the second sending; the router placed the task elsewhere; then the first sending, still on its way, started. Change: when a start was sent again, a 'not run' answer counts as failed with unknown outcome.

--- a/crates/hemlock_router/src/router/settle.rs
+++ b/crates/hemlock_router/src/router/settle.rs
@@ -40,6 +40,11 @@
         if refused {
             self.note_refusal(now, &flight, &outcome, out);
         }
+        let outcome = match outcome {
+            // The refusal speaks of the second sending; the first may still reach the gate.
+            Outcome::NotRun(..) if flight.resent => Outcome::Failed(FailureKind::Unknown),
+            outcome => outcome,
+        };
         match flight.abandoned {
             true if !refused => Self::observe(out, Observation::Wasted(WasteCause::LateAnswer)),
             true => {}
--- a/crates/hemlock_router/tests/decisions.rs
+++ b/crates/hemlock_router/tests/decisions.rs
@@ -414,3 +414,25 @@
     site.tell(Event::Granted { agent, slots: 1 });
     assert_eq!(site.starts.len(), 1);
 }
+
+#[test]
+fn a_refusal_of_a_second_sending_is_no_proof_for_the_first() {
+    let mut site = site(3);
+    site.answering = false;
+    let call = site.submit_tasks(CUSTOMER, Some("k"), &[(0, 0)], None);
+    grant_claim(&mut site, 1, None);
+    let (agent, first) = site.starts[0].clone();
+    site.tell(Event::LinkDown(agent));
+    site.tell(Event::StartLost {
+        agent,
+        request: first.request,
+        loss: Loss::AfterSending,
+    });
+    site.tell(Event::LinkUp(agent));
+    let second = site.starts[1].1.request;
+    let refused = Outcome::NotRun(NotRunReason::Refused, NotRunProof::RefusedByGate);
+    site.settle(agent, second, refused);
+    assert_eq!(site.starts.len(), 2, "the first may still start");
+    let unknown = CallResult::Failed(FailureKind::Unknown);
+    assert_eq!(site.result(call), Some(&unknown));
+}
