Compare policies in one place

Cause: the scenarios latency and faults each drew the trace, worked out the ideal, ran every policy and built the same figures.

--- a/tools/bench/src/scenario/mod.rs
+++ b/tools/bench/src/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! The scenarios, one file each.
 
 mod claims;
+mod comparison;
 mod contract_change;
 mod decisions;
 mod faults;
