--- /dev/null
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -0,0 +1,256 @@
+//! The dispatcher's state and what changes it.
+
+mod admission;
+mod ends;
+mod place;
+mod sessions;
+mod tick;
+
+pub use admission::AdmitRefusal;
+pub use sessions::Adoption;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use hemlock_jobs::prelude::*;
+use hemlock_types::time::{DurationMs, Instant};
+
+use crate::instance::Agent;
+use crate::job::{Job, Policy, Step, Task, TaskState, spec_chain_ms};
+use crate::order::SessionId;
+use crate::ranking::{Rank, judge_promise};
+use crate::settings::DispatchSettings;
+
+/// Run numbers that one leader may use for a task before the next leader's begin.
+const RUNS_PER_GENERATION: u64 = 1_000;
+
+/// How far an open job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobStage {
+    /// No task has been started.
+    Pending,
+    /// A task has been started.
+    Active,
+}
+
+/// Decides which task runs where and when.
+#[derive(Debug)]
+pub struct Dispatcher {
+    settings: DispatchSettings,
+    now: Instant,
+    jobs: HashMap<JobId, Job>,
+    agents: BTreeMap<AgentId, Agent>,
+    /// Jobs with tasks that may be started, in order.
+    ready: BTreeSet<Rank>,
+    /// When ranks change if nothing is done.
+    rank_changes: BTreeSet<(Instant, JobId)>,
+    queues: HashMap<String, Queue>,
+    next_session: u64,
+    /// Run numbers of tasks whose earlier runs are not known are above this.
+    run_floor: RunNumber,
+    /// Agents of earlier leaders that have not been heard yet.
+    unheard: BTreeSet<AgentId>,
+    /// Until when agents of earlier leaders may run what they were told to.
+    takeover_until: Option<Instant>,
+    /// Whether something has changed that may allow another start.
+    placement_due: bool,
+    next_scan: Instant,
+}
+
+impl Dispatcher {
+    /// A dispatcher for a leader whose term begins now, with the record as it is.
+    pub fn new(now: Instant, settings: DispatchSettings, book: &JobBook) -> Self {
+        let mut dispatcher = Self {
+            settings,
+            now,
+            jobs: HashMap::new(),
+            agents: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            rank_changes: BTreeSet::new(),
+            queues: HashMap::new(),
+            next_session: 0,
+            run_floor: RunNumber(book.generation().saturating_sub(1) * RUNS_PER_GENERATION),
+            unheard: book.agents().clone(),
+            takeover_until: Some(now + settings.expiry()),
+            placement_due: true,
+            next_scan: now,
+        };
+        if let Some(configuration) = book.configuration() {
+            dispatcher.configure(configuration);
+        }
+        for (id, record) in book.jobs() {
+            if let Some(open) = record.open() {
+                let age = DurationMs::new(book.now_ms().saturating_sub(open.accepted_at_ms));
+                dispatcher.add_job(id, &record.queue, open, age, TaskState::Unknown);
+            }
+        }
+        dispatcher.end_takeover_if_done();
+        dispatcher
+    }
+
+    /// Takes over the queues in force.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        let queues = configuration.queues.iter();
+        self.queues = queues
+            .map(|queue| (queue.name.clone(), queue.clone()))
+            .collect();
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = self.queues.get(&job.queue) {
+                job.service.clone_from(&queue.service);
+            }
+        }
+        self.placement_due = true;
+    }
+
+    /// Takes in a job that the record has just accepted.
+    pub fn job_accepted(&mut self, now: Instant, id: JobId, queue: &str, open: &OpenJob) {
+        self.advance(now);
+        self.add_job(id, queue, open, DurationMs::new(0), TaskState::Waiting);
+    }
+
+    fn add_job(
+        &mut self,
+        id: JobId,
+        queue: &str,
+        open: &OpenJob,
+        age: DurationMs,
+        unfinished: TaskState,
+    ) {
+        let policy = self.policy(queue);
+        let objective = policy.objective(spec_chain_ms(&open.spec));
+        let useless_ms = objective.as_ms() as f64 * self.settings.useless_after_objectives;
+        let since_us = age.as_ms() * 1_000;
+        let began = Instant::from_micros(self.now.as_micros().saturating_sub(since_us));
+        let run_floor = self.run_floor;
+        let step = |(spec, progress): (&StepSpec, &Vec<TaskProgress>)| {
+            let task = |progress: &TaskProgress| Task {
+                state: match progress.done {
+                    true => TaskState::Done,
+                    false => unfinished,
+                },
+                last_run: run_floor,
+                avoid: None,
+                setbacks: 0,
+            };
+            let tasks: Vec<Task> = progress.iter().map(task).collect();
+            let waits = |index: &u16| tasks[usize::from(*index)].state == TaskState::Waiting;
+            Step {
+                spec: spec.clone(),
+                waiting: (0..spec.count).filter(waits).collect(),
+                done: progress.iter().filter(|task| task.done).count(),
+                tasks,
+            }
+        };
+        let steps: Vec<Step> = open.spec.steps.iter().zip(&open.steps).map(step).collect();
+        let service = self.queues.get(queue).map(|queue| queue.service.clone());
+        let job = Job {
+            queue: queue.to_owned(),
+            service: service.unwrap_or_else(|| open.service.clone()),
+            priority: policy.priority,
+            payload: open.spec.payload.clone(),
+            started: steps.iter().any(|step| step.done > 0),
+            steps,
+            due: began + objective,
+            useless_at: began + DurationMs::new(useless_ms as u64),
+            rank: None,
+        };
+        self.jobs.insert(id, job);
+        self.rerank(id);
+    }
+
+    fn policy(&self, queue: &str) -> Policy {
+        /// For jobs whose queue has been removed.
+        const ORPHAN: Policy = Policy {
+            priority: u32::MAX,
+            target_latency_ms: 0,
+            slack_factor: 1.0,
+        };
+        self.queues.get(queue).map_or(ORPHAN, Policy::of)
+    }
+
+    /// Drops a job that has ended, and stops what still runs of it.
+    pub fn job_ended(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        if let Some(rank) = job.rank {
+            self.ready.remove(&rank);
+        }
+        for agent in self.agents.values_mut() {
+            let runs: Vec<TaskKey> = agent
+                .runs
+                .keys()
+                .filter(|task| task.job == id)
+                .copied()
+                .collect();
+            agent.starts.retain(|start| start.task.job != id);
+            runs.into_iter().for_each(|task| agent.stop_run(task));
+        }
+    }
+
+    /// Puts a job at its place among those with tasks to start.
+    fn rerank(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some(rank) = job.rank.take() {
+            self.ready.remove(&rank);
+        }
+        if job.startable().next().is_none() {
+            return;
+        }
+        let remaining = DurationMs::new(job.remaining_chain_ms());
+        let (promise, until) = judge_promise(self.now, remaining, job.due, job.useless_at);
+        let rank = Rank {
+            promise,
+            priority: job.priority,
+            due: job.due,
+            job: id,
+        };
+        job.rank = Some(rank);
+        self.ready.insert(rank);
+        self.rank_changes.extend(until.map(|until| (until, id)));
+        self.placement_due = true;
+    }
+
+    /// How far an open job is; `None` when it is not open.
+    pub fn stage(&self, id: JobId) -> Option<JobStage> {
+        self.jobs.get(&id).map(|job| match job.started {
+            true => JobStage::Active,
+            false => JobStage::Pending,
+        })
+    }
+
+    /// Open jobs of a queue of which no task has been started.
+    pub fn pending_jobs(&self, queue: &str) -> usize {
+        let pending = |job: &&Job| !job.started && job.queue == queue;
+        self.jobs.values().filter(pending).count()
+    }
+
+    /// Tasks that wait for room.
+    pub fn waiting_tasks(&self) -> usize {
+        let steps = self.jobs.values().flat_map(|job| &job.steps);
+        steps.map(|step| step.waiting.len()).sum()
+    }
+
+    /// Runs that take room at any instance.
+    pub fn running_tasks(&self) -> usize {
+        self.agents.values().map(|agent| agent.runs.len()).sum()
+    }
+
+    /// Open jobs.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Agents in session.
+    pub fn agents_in_session(&self) -> usize {
+        let in_session = |agent: &&Agent| agent.session.is_some();
+        self.agents.values().filter(in_session).count()
+    }
+
+    fn in_session(&mut self, id: AgentId, session: SessionId) -> Option<&mut Agent> {
+        self.agents
+            .get_mut(&id)
+            .filter(|agent| agent.session == Some(session))
+    }
+}
--- /dev/null
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -0,0 +1,164 @@
+//! Starting tasks where there is room.
+
+use hemlock_jobs::prelude::*;
+use hemlock_types::time::Instant;
+
+use super::Dispatcher;
+use crate::instance::{Agent, Run};
+use crate::job::TaskState;
+use crate::order::{Order, StartOrder};
+use crate::placement::{Wish, choose};
+
+/// Tasks in a row that find no room, after which the rest waits for the next change.
+const MISSES_PER_PASS: usize = 48;
+
+impl Dispatcher {
+    /// Starts what may be started, and returns all orders that are to be sent.
+    pub fn poll(&mut self, now: Instant) -> Vec<Order> {
+        self.advance(now);
+        if std::mem::take(&mut self.placement_due) {
+            self.place_all();
+        }
+        let due = |agent: &Agent| !agent.starts.is_empty() || !agent.stops.is_empty();
+        let order = |(id, agent): (&AgentId, &mut Agent)| {
+            let session = agent.session.filter(|_| due(agent))?;
+            Some(Order {
+                agent: *id,
+                session,
+                instance: agent.instance.as_ref().map(|instance| instance.id.clone()),
+                starts: std::mem::take(&mut agent.starts),
+                stops: std::mem::take(&mut agent.stops),
+            })
+        };
+        self.agents.iter_mut().filter_map(order).collect()
+    }
+
+    fn place_all(&mut self) {
+        let ranks: Vec<JobId> = self.ready.iter().map(|rank| rank.job).collect();
+        let mut misses = 0;
+        for id in ranks {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let tasks: Vec<(u16, u16)> = job.startable().collect();
+            let mut placed = false;
+            for (step, index) in tasks {
+                let key = TaskKey {
+                    job: id,
+                    occurrence: 0,
+                    step,
+                    index,
+                };
+                match self.place(key) {
+                    true => {
+                        placed = true;
+                        misses = 0;
+                    }
+                    false => misses += 1,
+                }
+                if misses >= MISSES_PER_PASS {
+                    break;
+                }
+            }
+            if placed {
+                self.rerank_quietly(id);
+            }
+            if misses >= MISSES_PER_PASS {
+                return;
+            }
+        }
+    }
+
+    /// Ranks a job anew without asking for another pass.
+    fn rerank_quietly(&mut self, id: JobId) {
+        let due = self.placement_due;
+        self.rerank(id);
+        self.placement_due = due;
+    }
+
+    /// Starts a task at the best instance; `false` when there is none.
+    fn place(&mut self, key: TaskKey) -> bool {
+        let Some(agent) = self.choose_agent(key) else {
+            return false;
+        };
+        self.start(key, agent);
+        true
+    }
+
+    fn choose_agent(&self, key: TaskKey) -> Option<AgentId> {
+        let job = self.jobs.get(&key.job)?;
+        let step = job.step(key)?;
+        let task = step.tasks.get(usize::from(key.index))?;
+        let spec = &step.spec;
+        let wish = Wish {
+            service: &job.service,
+            needs: spec.needs,
+            required_label: spec.required_label.as_deref(),
+            preferred_rack: spec.preferred_rack.as_deref(),
+            avoid: task.avoid,
+        };
+        let spread_holds = |_: AgentId, agent: &Agent| match spec.max_per_instance {
+            0 => true,
+            most => {
+                let same_step = |run: &&TaskKey| run.job == key.job && run.step == key.step;
+                agent.runs.keys().filter(same_step).count() < usize::from(most)
+            }
+        };
+        let agents = self.agents.iter().map(|(id, agent)| (*id, agent));
+        choose(self.now, &wish, agents, spread_holds)
+    }
+
+    fn start(&mut self, key: TaskKey, id: AgentId) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(step) = job.steps.get(usize::from(key.step)) else {
+            return;
+        };
+        let (needs, estimate_ms) = (step.spec.needs, step.spec.estimate_ms);
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        assert!(
+            task.state == TaskState::Waiting,
+            "task {key} is started only while it waits"
+        );
+        let run = task.last_run.next();
+        task.last_run = run;
+        job.set_state(key, TaskState::Running(id, run));
+        job.started = true;
+        let payload = job.payload.clone();
+        let Some(agent) = self.agents.get_mut(&id) else {
+            return;
+        };
+        agent.add_run(
+            key,
+            Run {
+                number: run,
+                needs,
+                ordered_at: now,
+                expected_ms: estimate_ms,
+                stopping: false,
+            },
+        );
+        assert!(
+            agent.instance.as_ref().is_some_and(|i| i.capacity.fits(&agent.used)),
+            "the runs of agent {id} fit its instance"
+        );
+        agent.starts.push(StartOrder {
+            task: key,
+            run,
+            payload,
+            needs,
+        });
+    }
+
+    /// When [`poll`](Self::poll) is due though nothing has happened.
+    pub fn next_deadline(&self) -> Instant {
+        let change = self.rank_changes.first().map(|(at, _)| *at);
+        let takeover = self.takeover_until;
+        let times = [change, takeover, Some(self.next_scan)];
+        times.into_iter().flatten().min().unwrap_or(self.next_scan)
+    }
+}
--- /dev/null
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -0,0 +1,92 @@
+//! An agent and its instance as the dispatcher sees them.
+
+use std::collections::HashMap;
+
+use hemlock_jobs::prelude::*;
+use hemlock_types::time::Instant;
+
+use crate::health::Health;
+use crate::order::{InstanceReport, SessionId, StartOrder, StopOrder};
+
+/// One run at an instance. It takes room until it is known to be over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub(crate) number: RunNumber,
+    pub(crate) needs: Resources,
+    pub(crate) ordered_at: Instant,
+    /// How long it should take, in milliseconds.
+    pub(crate) expected_ms: u64,
+    pub(crate) stopping: bool,
+}
+
+/// One agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) session: Option<SessionId>,
+    /// Whether the agent has told in this session what runs.
+    pub(crate) adopted: bool,
+    /// When the leader last confirmed the agent's authority.
+    pub(crate) confirmed: Instant,
+    pub(crate) instance: Option<InstanceReport>,
+    pub(crate) used: Resources,
+    pub(crate) runs: HashMap<TaskKey, Run>,
+    pub(crate) health: Health,
+    /// Orders that are to be sent.
+    pub(crate) starts: Vec<StartOrder>,
+    pub(crate) stops: Vec<StopOrder>,
+}
+
+impl Agent {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            session: None,
+            adopted: false,
+            confirmed: now,
+            instance: None,
+            used: Resources::default(),
+            runs: HashMap::new(),
+            health: Health::default(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+        }
+    }
+
+    /// Whether it is in session, told what runs, and has an instance that stays.
+    pub(crate) fn takes_work(&self) -> bool {
+        let stays = |instance: &InstanceReport| !instance.draining;
+        self.session.is_some() && self.adopted && self.instance.as_ref().is_some_and(stays)
+    }
+
+    /// What its instance has left.
+    pub(crate) fn free(&self) -> Resources {
+        self.instance
+            .as_ref()
+            .map(|instance| instance.capacity.minus(&self.used))
+            .unwrap_or_default()
+    }
+
+    /// Notes a run that takes room.
+    pub(crate) fn add_run(&mut self, task: TaskKey, run: Run) {
+        if let Some(earlier) = self.runs.insert(task, run) {
+            self.used.take(&earlier.needs);
+        }
+        self.used.add(&run.needs);
+    }
+
+    /// Gives back the room of a run that is over, if it is this one.
+    pub(crate) fn remove_run(&mut self, task: TaskKey, number: RunNumber) -> Option<Run> {
+        let known = self.runs.get(&task).is_some_and(|run| run.number == number);
+        let run = known.then(|| self.runs.remove(&task)).flatten()?;
+        self.used.take(&run.needs);
+        Some(run)
+    }
+
+    /// Orders the end of a run, once.
+    pub(crate) fn stop_run(&mut self, task: TaskKey) {
+        if let Some(run) = self.runs.get_mut(&task).filter(|run| !run.stopping) {
+            run.stopping = true;
+            let run = run.number;
+            self.stops.push(StopOrder { task, run });
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -0,0 +1,163 @@
+//! What passes between the dispatcher and the agents.
+
+use bytes::Bytes;
+use derive_more::{Display, From, Into};
+use hemlock_jobs::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Names one registration of an agent with one leader. A later registration has a higher number.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+pub struct SessionId(pub u64);
+
+/// Names one life of an instance.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{name}@{born_ms}")]
+pub struct InstanceId {
+    /// The name that the instance gave itself.
+    pub name: String,
+    /// When it was started, in Unix milliseconds; zero when it didn't say.
+    pub born_ms: u64,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceReport {
+    /// Which life of which instance.
+    pub id: InstanceId,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// All it has.
+    pub capacity: Resources,
+    /// Its labels, the rack among them.
+    pub labels: Vec<String>,
+    /// Whether it is leaving and takes no new work.
+    pub draining: bool,
+}
+
+/// How a run ended at its instance.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RunEnd {
+    /// The task is done.
+    #[display("done")]
+    Done,
+    /// It failed.
+    #[display("failed")]
+    Failed,
+    /// It was stopped on order.
+    #[display("stopped")]
+    Stopped,
+    /// Its lease ran out, or it was gone when its instance was asked.
+    #[display("lapsed")]
+    Lapsed,
+    /// Another member of its gang ended.
+    #[display("broken")]
+    Broken,
+    /// It waited too long for the other members of its gang.
+    #[display("alone")]
+    Alone,
+}
+
+/// A run that an agent tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// How it ended; `None` while it runs.
+    pub end: Option<RunEnd>,
+}
+
+/// All that an agent knows of its instance at the begin of a session.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inventory {
+    /// The instance, if one is there.
+    pub instance: Option<InstanceReport>,
+    /// What runs, and what ended without having been confirmed.
+    pub runs: Vec<RunReport>,
+}
+
+/// Starts one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: RunNumber,
+    /// What the task gets to know.
+    pub payload: Bytes,
+    /// What it takes of the instance.
+    pub needs: Resources,
+}
+
+/// Stops one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopOrder {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+}
+
+/// Orders for one agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The agent.
+    pub agent: AgentId,
+    /// The session in which the orders hold.
+    pub session: SessionId,
+    /// The life of the instance that the starts are for.
+    pub instance: Option<InstanceId>,
+    /// Runs to start.
+    pub starts: Vec<StartOrder>,
+    /// Runs to stop.
+    pub stops: Vec<StopOrder>,
+}
+
+/// Why a start was not carried out. In every case nothing runs by it, now or later.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// The instance has too little left.
+    #[display("no-room")]
+    NoRoom,
+    /// The instance is leaving, gone, or another than the order was for.
+    #[display("no-instance")]
+    NoInstance,
+    /// The agent is in another session, or may not act now.
+    #[display("session")]
+    Session,
+    /// The instance refused because it is unhealthy or overloaded.
+    #[display("unhealthy")]
+    Unhealthy,
+    /// The start came too late, or its run number has been passed.
+    #[display("outdated")]
+    Outdated,
+    /// The instance gave no answer, and has since confirmed that nothing runs.
+    #[display("unanswered")]
+    Unanswered,
+}
+
+/// What is to be done with an end that an agent reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndVerdict {
+    /// It must be recorded before it is confirmed.
+    Record(TaskEnd),
+    /// It may be confirmed at once.
+    Confirm,
+}
--- /dev/null
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -0,0 +1,41 @@
+//! Times of the dispatcher.
+
+use hemlock_types::time::DurationMs;
+
+/// Per mille of true time that an instance's clock may lose.
+const SLOW_CLOCK_PER_MILLE: u64 = 20;
+
+/// Times and bounds of the dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DispatchSettings {
+    /// How long an agent may act on a confirmation, counted from its request, in milliseconds.
+    pub authority_ms: u64,
+    /// Longest lease of a run on the instance's clock, in milliseconds.
+    pub lease_ms: u64,
+    /// Added to both, for the agent's own timers and the time that a stop takes, in milliseconds.
+    pub margin_ms: u64,
+    /// Multiple of a job's objective beyond which its result serves nobody.
+    pub useless_after_objectives: f64,
+    /// Least time after which a request that was rejected may be sent again, in milliseconds.
+    pub retry_after_min_ms: u64,
+}
+
+impl Default for DispatchSettings {
+    fn default() -> Self {
+        Self {
+            authority_ms: 2_000,
+            lease_ms: 1_000,
+            margin_ms: 250,
+            useless_after_objectives: 3.0,
+            retry_after_min_ms: 1_000,
+        }
+    }
+}
+
+impl DispatchSettings {
+    /// Time from an agent's last confirmation until none of its runs can be alive.
+    pub fn expiry(&self) -> DurationMs {
+        let lease_ms = self.lease_ms * 1_000 / (1_000 - SLOW_CLOCK_PER_MILLE);
+        DurationMs::new(self.authority_ms + lease_ms + self.margin_ms)
+    }
+}
--- a/crates/hemlock_http/src/lib.rs
+++ b/crates/hemlock_http/src/lib.rs
@@ -25,6 +25,7 @@
 //! server.join();
 //! ```
 
+pub mod channel;
 pub mod client;
 pub mod config;
 mod connection;
@@ -40,11 +41,12 @@
 /// The items that most callers need.
 pub mod prelude {
     pub use crate::Method;
+    pub use crate::channel::{ChannelCall, HttpChannel};
     pub use crate::client::{HttpCall, HttpClient, HttpClientConfig, HttpReply};
     pub use crate::config::HttpServerConfig;
     pub use crate::error::{HttpClientError, HttpError};
     pub use crate::request::{Headers, HttpRequest};
     pub use crate::responder::Responder;
     pub use crate::response::HttpResponse;
-    pub use crate::server::{HttpHandler, HttpServer};
+    pub use crate::server::{HttpHandler, HttpServer, serve_on};
 }
--- a/crates/hemlock_http/src/server.rs
+++ b/crates/hemlock_http/src/server.rs
@@ -58,17 +58,7 @@
             stop,
             threads: Vec::new(),
         };
-        let acceptor = Acceptor {
-            slots: Arc::new(Semaphore::new(config.max_connections)),
-            shared: Arc::new(Shared {
-                buffer_budget: Arc::new(Semaphore::new(
-                    config.max_buffered_bytes / BUFFER_UNIT_BYTES,
-                )),
-                handler,
-                config,
-            }),
-            stop: stopped,
-        };
+        let acceptor = Acceptor::new(config, handler, stopped);
         for index in 0..acceptor.shared.config.threads {
             let listener = listener.try_clone().map_err(HttpError::Thread)?;
             let thread = spawn_thread(index, listener, acceptor.clone())?;
@@ -109,6 +99,17 @@
     }
 }
 
+/// Serves on the caller's own runtime until `stop` turns true and every request in flight is
+/// answered. For processes whose share of a core is too small for threads that wake each other.
+pub async fn serve_on(
+    listener: StdListener,
+    config: HttpServerConfig,
+    handler: Arc<dyn HttpHandler>,
+    stop: watch::Receiver<bool>,
+) {
+    Acceptor::new(config, handler, stop).run(listener).await;
+}
+
 fn spawn_thread(
     index: usize,
     listener: StdListener,
@@ -137,6 +138,23 @@
 }
 
 impl Acceptor {
+    fn new(
+        config: HttpServerConfig,
+        handler: Arc<dyn HttpHandler>,
+        stop: watch::Receiver<bool>,
+    ) -> Self {
+        let budget_units = config.max_buffered_bytes / BUFFER_UNIT_BYTES;
+        Self {
+            slots: Arc::new(Semaphore::new(config.max_connections)),
+            shared: Arc::new(Shared {
+                buffer_budget: Arc::new(Semaphore::new(budget_units)),
+                handler,
+                config,
+            }),
+            stop,
+        }
+    }
+
     async fn run(self, listener: StdListener) {
         let mut stop = self.stop.clone();
         let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
--- /dev/null
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -0,0 +1,566 @@
+//! The control loop: feeds the replicated log, applies what it commits, and dispatches.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_quorum::prelude::*;
+use hemlock_types::prelude::*;
+use hemlock_wire::prelude::*;
+use tokio::sync::mpsc;
+use tracing::{info, warn};
+
+use super::CoordinatorSettings;
+use super::disk::Disk;
+use super::error::CoordinatorError;
+use super::handle::{ConfigureAnswer, ReadAnswer};
+use super::input::Input;
+use super::peers::Peers;
+use super::service::CoordinatorService;
+use super::waiters::{CommandWaiter, ReadWaiter, reply};
+use crate::message::{CallerAnswer, JobState, Reply, RunnerReply, RunnerRequest};
+use crate::task_set::TaskSet;
+
+/// Most inputs taken in one pass.
+const INPUTS_PER_PASS: usize = 512;
+/// Commands of this span share one entry of the log, which costs a sync and a message to each
+/// follower whatever it holds.
+const BATCH_SPAN: DurationMs = DurationMs::new(3);
+/// Time that a runner may take to answer orders.
+const ORDER_TIMEOUT: DurationMs = DurationMs::new(800);
+/// Longest time that a planned stop waits for leadership to be handed over.
+const DRAIN_TIMEOUT: DurationMs = DurationMs::new(1_000);
+/// Bits of a fencing number that count a leader's sessions; the term stands above them.
+const SESSION_BITS: u32 = 20;
+
+/// Who waits for the commands of one proposal, in their order.
+type Waiting = Vec<(Command, CommandWaiter)>;
+
+/// The control loop's state.
+pub(super) struct Control {
+    pub(super) settings: CoordinatorSettings,
+    pub(super) quorum: Quorum,
+    pub(super) book: JobBook,
+    /// There while this keeper leads and its first command is committed.
+    pub(super) dispatcher: Option<Dispatcher>,
+    pub(super) clock: SystemClock,
+    pub(super) now: Instant,
+    /// Connections of the runners in session.
+    pub(super) sessions: HashMap<AgentId, (SessionId, ConnectionId)>,
+    term: Option<Term>,
+    disk: Disk,
+    peers: Peers,
+    service: Rc<CoordinatorService>,
+    inputs: mpsc::UnboundedSender<Input>,
+    orders: TaskSet,
+    events: Vec<Event>,
+    commands: Waiting,
+    reads: Vec<ReadWaiter>,
+    proposals: HashMap<ProposalToken, Waiting>,
+    asked: HashMap<ProposalToken, Vec<ReadWaiter>>,
+    applied: HashMap<LogIndex, Vec<Applied>>,
+    next_token: u64,
+    last_batch: Instant,
+    /// The record's clock and this keeper's at the begin of its leadership.
+    record_clock: (u64, Instant),
+    drain_until: Option<Instant>,
+    failure: Option<CoordinatorError>,
+}
+
+impl Control {
+    pub(super) fn new(
+        settings: CoordinatorSettings,
+        quorum: Quorum,
+        disk: Disk,
+        peers: Peers,
+        service: Rc<CoordinatorService>,
+        inputs: mpsc::UnboundedSender<Input>,
+    ) -> Self {
+        let book = JobBook::new(settings.retention_ms);
+        Self {
+            settings,
+            quorum,
+            book,
+            dispatcher: None,
+            clock: SystemClock::start(),
+            now: Instant::ZERO,
+            sessions: HashMap::new(),
+            term: None,
+            disk,
+            peers,
+            service,
+            inputs,
+            orders: TaskSet::default(),
+            events: Vec::new(),
+            commands: Vec::new(),
+            reads: Vec::new(),
+            proposals: HashMap::new(),
+            asked: HashMap::new(),
+            applied: HashMap::new(),
+            next_token: 0,
+            last_batch: Instant::ZERO,
+            record_clock: (0, Instant::ZERO),
+            drain_until: None,
+            failure: None,
+        }
+    }
+
+    /// Runs until a planned stop has ended or the keeper can't go on.
+    pub(super) async fn run(
+        mut self,
+        mut inputs: mpsc::UnboundedReceiver<Input>,
+    ) -> Result<(), CoordinatorError> {
+        self.events.push(Event::Tick);
+        loop {
+            self.pass()?;
+            if self.is_drained() {
+                return Ok(());
+            }
+            let wait_us = self.next_deadline().micros_since(self.clock.now());
+            let wait = std::time::Duration::from_micros(wait_us);
+            // Nothing is lost when the time runs out first: the queue keeps what it holds.
+            match tokio::time::timeout(wait, inputs.recv()).await {
+                Ok(Some(input)) => self.take(input),
+                Ok(None) => return Ok(()),
+                Err(_) => {}
+            }
+            for _ in 1..INPUTS_PER_PASS {
+                match inputs.try_recv() {
+                    Ok(input) => self.take(input),
+                    Err(_) => break,
+                }
+            }
+            self.events.push(Event::Tick);
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        self.now = self.clock.now();
+        match input {
+            Input::Request(peer, request, answer) => self.take_request(peer, request, answer),
+            Input::Received(from, message) => {
+                self.events.push(Event::Received { from, message });
+            }
+            Input::Closed(connection) => self.close_sessions(connection),
+            Input::Configure(configuration, answer) => {
+                let waiter = CommandWaiter::Operator(answer);
+                self.propose(Command::Configure(configuration), waiter);
+            }
+            Input::Read(answer) => self.read(ReadWaiter::Configuration(answer)),
+            Input::OrderAnswered(agent, session, refused) => {
+                self.take_refused(agent, session, &refused);
+            }
+            Input::OrderLost(agent, session) => self.close_session(agent, session),
+            Input::Synced(up_to) => self.events.push(Event::Synced { up_to }),
+            Input::DiskFailed(error) => self.failure = Some(error.into()),
+            Input::Drain => {
+                info!(event = "drain-begun", leading = self.dispatcher.is_some());
+                self.drain_until = Some(self.now + DRAIN_TIMEOUT);
+                self.events.push(Event::TransferLeadership { to: None });
+            }
+        }
+    }
+
+    /// Feeds the log with all that waits and does what it says, until nothing is left.
+    fn pass(&mut self) -> Result<(), CoordinatorError> {
+        loop {
+            self.now = self.clock.now();
+            self.send_orders();
+            self.flush_reads();
+            self.flush_commands();
+            if self.events.is_empty() {
+                return self.failure.take().map_or(Ok(()), Err);
+            }
+            let events = std::mem::take(&mut self.events);
+            let mut actions = Vec::new();
+            self.quorum.handle_all(self.now, events, &mut actions);
+            let mut work = Vec::new();
+            for action in actions {
+                match action {
+                    Action::Persist(item) => work.push(item),
+                    action => self.do_action(action)?,
+                }
+            }
+            if !work.is_empty() {
+                self.disk.hand_over(work);
+            }
+        }
+    }
+
+    fn do_action(&mut self, action: Action) -> Result<(), CoordinatorError> {
+        match action {
+            Action::Send { to, message } => self.peers.send(to, message),
+            Action::Persist(_) => {}
+            Action::Restore(snapshot) => self.book.restore(&snapshot.data)?,
+            Action::Apply(entry) => self.apply(&entry),
+            Action::TakeSnapshot { index } => {
+                let data = self.book.snapshot()?;
+                self.events.push(Event::SnapshotTaken { index, data });
+            }
+            Action::ProposalDone { token, result } => self.proposal_done(token, result),
+            Action::ReadDone { token, result } => self.read_done(token, result.is_ok()),
+            Action::BecameLeader { term } => self.begin_leading(term),
+            Action::LostLeadership { term } => self.end_leading(term),
+        }
+        Ok(())
+    }
+
+    fn next_deadline(&self) -> Instant {
+        let batch = match self.commands.is_empty() {
+            true => None,
+            false => Some(self.last_batch + BATCH_SPAN),
+        };
+        let dispatch = self.dispatcher.as_ref().map(Dispatcher::next_deadline);
+        let times = [batch, dispatch, self.drain_until];
+        let quorum = self.quorum.next_deadline();
+        times.into_iter().flatten().fold(quorum, Instant::min)
+    }
+
+    fn is_drained(&self) -> bool {
+        let leads = self.term.is_some();
+        self.drain_until
+            .is_some_and(|until| !leads || self.now >= until)
+    }
+
+    // Leadership.
+
+    fn begin_leading(&mut self, term: Term) {
+        info!(
+            event = "leading",
+            term = term.0,
+            jobs = self.book.jobs().count(),
+            configuration = self.book.configuration().map(|c| c.version),
+        );
+        self.term = Some(term);
+        self.record_clock = (self.book.now_ms(), self.now);
+        self.propose(Command::Lead, CommandWaiter::Lead);
+    }
+
+    fn end_leading(&mut self, term: Term) {
+        warn!(event = "leadership-lost", term = term.0);
+        self.term = None;
+        self.dispatcher = None;
+        self.sessions.clear();
+        for (_, waiter) in std::mem::take(&mut self.commands) {
+            self.refuse(waiter);
+        }
+    }
+
+    fn begin_dispatching(&mut self) {
+        if self.term.is_none() {
+            return;
+        }
+        let dispatcher = Dispatcher::new(self.now, self.settings.dispatch, &self.book);
+        info!(
+            event = "dispatching",
+            generation = self.book.generation(),
+            open_jobs = dispatcher.open_jobs(),
+            agents_expected = self.book.agents().len(),
+        );
+        self.dispatcher = Some(dispatcher);
+    }
+
+    /// Whether no other keeper can have become leader yet.
+    pub(super) fn leads_for_certain(&self) -> bool {
+        let until = self.quorum.lease_until();
+        self.dispatcher.is_some() && until.is_some_and(|until| self.clock.now() < until)
+    }
+
+    /// The fencing number of a session in this term.
+    pub(super) fn fence(&self, session: SessionId) -> u64 {
+        let term = self.term.map_or(0, |term| term.0);
+        (term << SESSION_BITS) | session.0
+    }
+
+    // Commands.
+
+    pub(super) fn propose(&mut self, command: Command, waiter: CommandWaiter) {
+        match self.term {
+            Some(_) => self.commands.push((command, waiter)),
+            None => self.refuse(waiter),
+        }
+    }
+
+    fn flush_commands(&mut self) {
+        if self.commands.is_empty() || self.now < self.last_batch + BATCH_SPAN {
+            return;
+        }
+        self.last_batch = self.now;
+        let (base_ms, since) = self.record_clock;
+        let at_ms = base_ms + self.now.since(since).as_ms();
+        let (commands, waiters): (Vec<_>, Vec<_>) = std::mem::take(&mut self.commands)
+            .into_iter()
+            .map(|(command, waiter)| (command.clone(), (command, waiter)))
+            .unzip();
+        let batch = Batch::new(at_ms, commands);
+        match encode(&batch) {
+            Ok(command) => {
+                let token = self.draw_token();
+                self.proposals.insert(token, waiters);
+                self.events.push(Event::Propose { token, command });
+            }
+            Err(error) => {
+                warn!(event = "batch-not-encoded", %error);
+                waiters.into_iter().for_each(|(_, waiter)| self.refuse(waiter));
+            }
+        }
+    }
+
+    fn draw_token(&mut self) -> ProposalToken {
+        self.next_token += 1;
+        ProposalToken(self.next_token)
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let Some(command) = entry.command() else {
+            return;
+        };
+        let batch: Batch = match decode(command) {
+            Ok(batch) => batch,
+            Err(error) => {
+                // Every keeper sees the same bytes, so all of them leave this entry out.
+                warn!(event = "entry-unreadable", index = entry.index.0, %error);
+                return;
+            }
+        };
+        let before = self.book.configuration().map(|held| held.version);
+        let results = self.book.apply(&batch);
+        let after = self.book.configuration().map(|held| held.version);
+        assert!(before <= after, "the configuration never goes back");
+        if before != after {
+            info!(event = "configured", version = after, before, index = entry.index.0);
+        }
+        for (command, result) in batch.commands.iter().zip(&results) {
+            self.note_applied(command, *result);
+        }
+        if self.term.is_some() {
+            self.applied.insert(entry.index, results);
+        }
+    }
+
+    /// Tells the dispatcher what a command changed.
+    fn note_applied(&mut self, command: &Command, result: Applied) {
+        let (now, book) = (self.now, &self.book);
+        let Some(dispatcher) = self.dispatcher.as_mut() else {
+            return;
+        };
+        match (command, result) {
+            (Command::Accept(acceptance), Applied::Accepted) => {
+                let open = book.job(acceptance.id).and_then(JobRecord::open);
+                if let Some(open) = open {
+                    dispatcher.job_accepted(now, acceptance.id, &acceptance.queue, open);
+                }
+            }
+            (Command::Configure(configuration), Applied::Configured) => {
+                dispatcher.configure(configuration);
+            }
+            (Command::Cancel(id), Applied::Ended(_)) => dispatcher.job_ended(*id),
+            (Command::End(key, _, _), Applied::Ended(outcome)) => {
+                info!(event = "job-ended", job = %key.job, outcome = ?outcome);
+                dispatcher.job_ended(key.job);
+            }
+            (Command::End(key, run, end), Applied::Done) => {
+                dispatcher.end_recorded(now, *key, *run, *end);
+            }
+            _ => {}
+        }
+    }
+
+    fn proposal_done(&mut self, token: ProposalToken, result: Result<LogIndex, ProposeError>) {
+        let waiting = self.proposals.remove(&token).unwrap_or_default();
+        let index = match result {
+            Ok(index) => index,
+            Err(error) => {
+                let undecided = matches!(error, ProposeError::Undecided(_));
+                warn!(event = "commands-not-committed", reason = %error, count = waiting.len());
+                for (_, waiter) in waiting {
+                    match undecided {
+                        true => self.leave_undecided(waiter),
+                        false => self.refuse(waiter),
+                    }
+                }
+                return;
+            }
+        };
+        let results = self.applied.remove(&index).unwrap_or_default();
+        for ((command, waiter), result) in waiting.into_iter().zip(results) {
+            self.answer_committed(&command, waiter, result);
+        }
+    }
+
+    fn answer_committed(&mut self, command: &Command, waiter: CommandWaiter, result: Applied) {
+        match waiter {
+            CommandWaiter::Nobody => {}
+            CommandWaiter::Lead => self.begin_dispatching(),
+            CommandWaiter::Group(group) => group.note_committed(),
+            CommandWaiter::Registration(agent, answer) => self.register(agent, answer),
+            CommandWaiter::Operator(answer) => {
+                // An operator that has gone asks again.
+                let _ = answer.send(ConfigureAnswer::Done);
+            }
+            CommandWaiter::Caller(answer) => {
+                let caller_answer = match (command, result) {
+                    (Command::Accept(_), _) => CallerAnswer::Accepted,
+                    (_, Applied::Unknown) => CallerAnswer::NoSuchJob,
+                    _ => CallerAnswer::Canceled,
+                };
+                reply(answer, Reply::Call(caller_answer));
+            }
+        }
+    }
+
+    /// Tells a waiter that nothing was done.
+    fn refuse(&mut self, waiter: CommandWaiter) {
+        match waiter {
+            CommandWaiter::Nobody | CommandWaiter::Lead => {}
+            CommandWaiter::Group(group) => group.fail(),
+            CommandWaiter::Caller(answer) | CommandWaiter::Registration(_, answer) => {
+                reply(answer, Reply::NotLeader);
+            }
+            CommandWaiter::Operator(answer) => {
+                // An operator that has gone asks again.
+                let _ = answer.send(ConfigureAnswer::NotLeader(self.other_leader()));
+            }
+        }
+    }
+
+    /// Tells a waiter that its command may take effect or not.
+    fn leave_undecided(&mut self, waiter: CommandWaiter) {
+        match waiter {
+            CommandWaiter::Caller(answer) => reply(answer, Reply::Undecided),
+            CommandWaiter::Operator(answer) => {
+                // An operator that has gone asks again.
+                let _ = answer.send(ConfigureAnswer::Undecided);
+            }
+            waiter => self.refuse(waiter),
+        }
+    }
+
+    /// The leader, if it is another keeper.
+    pub(super) fn other_leader(&self) -> Option<KeeperId> {
+        let own = crate::address::keeper_id(self.settings.address);
+        self.quorum.leader().filter(|leader| *leader != own)
+    }
+
+    // Reads.
+
+    pub(super) fn read(&mut self, waiter: ReadWaiter) {
+        match self.dispatcher {
+            Some(_) => self.reads.push(waiter),
+            None => self.refuse_read(waiter),
+        }
+    }
+
+    fn flush_reads(&mut self) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let token = self.draw_token();
+        self.asked.insert(token, std::mem::take(&mut self.reads));
+        self.events.push(Event::ConfirmRead { token });
+    }
+
+    fn read_done(&mut self, token: ProposalToken, leads: bool) {
+        for waiter in self.asked.remove(&token).unwrap_or_default() {
+            match leads && self.dispatcher.is_some() {
+                true => self.answer_read(waiter),
+                false => self.refuse_read(waiter),
+            }
+        }
+    }
+
+    fn answer_read(&mut self, waiter: ReadWaiter) {
+        let now = self.now;
+        match waiter {
+            ReadWaiter::JobState(id, answer) => reply(answer, Reply::Call(self.job_state(id))),
+            ReadWaiter::QueueCount(queue, answer) => {
+                let dispatcher = self.dispatcher.as_ref();
+                let count = dispatcher.map_or(0, |dispatcher| dispatcher.pending_jobs(&queue));
+                let count = CallerAnswer::PendingJobs(count as u64);
+                reply(answer, Reply::Call(count));
+            }
+            ReadWaiter::Known(known, answer) => reply(answer, Reply::Call(known)),
+            ReadWaiter::Configuration(answer) => {
+                let held = self.book.configuration();
+                let read = held.map_or(ReadAnswer::Empty, |held| {
+                    ReadAnswer::Document(held.document.clone())
+                });
+                // An operator that has gone asks again.
+                let _ = answer.send(read);
+            }
+            ReadWaiter::Ping(None, answer) => reply(answer, Reply::Done),
+            ReadWaiter::Ping(Some((agent, session)), answer) => {
+                let dispatcher = self.dispatcher.as_mut();
+                let holds = dispatcher.is_some_and(|d| d.confirm(now, agent, session));
+                reply(answer, if holds { Reply::Done } else { Reply::VoidSession });
+            }
+        }
+    }
+
+    fn job_state(&self, id: JobId) -> CallerAnswer {
+        let Some(record) = self.book.job(id) else {
+            return CallerAnswer::NoSuchJob;
+        };
+        let stage = self.dispatcher.as_ref().and_then(|d| d.stage(id));
+        CallerAnswer::State(match (record.outcome(), stage) {
+            (Some(outcome), _) => JobState::Ended(outcome),
+            (None, Some(JobStage::Active)) => JobState::Active,
+            (None, Some(JobStage::Pending) | None) => JobState::Pending,
+        })
+    }
+
+    fn refuse_read(&mut self, waiter: ReadWaiter) {
+        match waiter {
+            ReadWaiter::Configuration(answer) => {
+                // An operator that has gone asks again.
+                let _ = answer.send(ReadAnswer::NotLeader(self.other_leader()));
+            }
+            ReadWaiter::JobState(_, answer)
+            | ReadWaiter::QueueCount(_, answer)
+            | ReadWaiter::Known(_, answer)
+            | ReadWaiter::Ping(_, answer) => reply(answer, Reply::NotLeader),
+        }
+    }
+
+    // Orders.
+
+    fn send_orders(&mut self) {
+        let Some(dispatcher) = self.dispatcher.as_mut() else {
+            return;
+        };
+        for agent in dispatcher.take_missing_agents() {
+            info!(event = "agent-missing", agent = agent.0);
+            self.commands
+                .push((Command::Delist(agent), CommandWaiter::Nobody));
+        }
+        for order in dispatcher.poll(self.now) {
+            let connection = self.sessions.get(&order.agent);
+            let connection = connection.filter(|(session, _)| *session == order.session);
+            let link = connection.and_then(|(_, connection)| self.service.link(*connection));
+            let inputs = self.inputs.clone();
+            self.orders.spawn(send_order(link, order, inputs));
+        }
+    }
+}
+
+/// Sends orders to a runner and reports what became of them.
+async fn send_order(link: Option<Link>, order: Order, inputs: mpsc::UnboundedSender<Input>) {
+    let (agent, session) = (order.agent, order.session);
+    let request = RunnerRequest(order);
+    let answer = match &link {
+        Some(link) => {
+            let call = link.call::<_, RunnerReply>(&request);
+            let answered = tokio::time::timeout(ORDER_TIMEOUT.as_std(), call).await;
+            answered.ok().and_then(Result::ok)
+        }
+        None => None,
+    };
+    let input = match answer {
+        Some(RunnerReply(refused)) if refused.is_empty() => return,
+        Some(RunnerReply(refused)) => Input::OrderAnswered(agent, session, refused),
+        None => Input::OrderLost(agent, session),
+    };
+    // A control loop that has ended has no sessions left.
+    let _ = inputs.send(input);
+}
--- /dev/null
+++ b/crates/hemlock_nodes/src/coordinator/disk.rs
@@ -0,0 +1,77 @@
+//! The disk thread: makes durable what the core hands over, one sync for all that waits.
+
+use std::thread::{Builder, JoinHandle};
+use std::time::Instant;
+
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use hemlock_quorum::prelude::{DiskWork, FileStorage, perform};
+use tokio::sync::mpsc;
+
+use super::error::CoordinatorError;
+use super::input::Input;
+
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+
+/// The disk thread, which ends with this value.
+pub(super) struct Disk {
+    work: Option<Sender<Vec<DiskWork>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Disk {
+    /// Hands over work. It is done in order.
+    pub(super) fn hand_over(&self, work: Vec<DiskWork>) {
+        if let Some(queue) = &self.work {
+            // The thread ends before this value only when it has reported a failure.
+            let _ = queue.send(work);
+        }
+    }
+}
+
+impl Drop for Disk {
+    fn drop(&mut self) {
+        drop(self.work.take());
+        if let Some(Err(panic)) = self.thread.take().map(JoinHandle::join) {
+            std::panic::resume_unwind(panic);
+        }
+    }
+}
+
+/// Starts the disk thread.
+pub(super) fn start(
+    storage: FileStorage,
+    control: mpsc::UnboundedSender<Input>,
+) -> Result<Disk, CoordinatorError> {
+    let (work, queue) = unbounded();
+    let thread = Builder::new()
+        .name("coordinator-disk".to_owned())
+        .spawn(move || run(storage, &queue, &control))
+        .map_err(CoordinatorError::Thread)?;
+    Ok(Disk {
+        work: Some(work),
+        thread: Some(thread),
+    })
+}
+
+fn run(
+    mut storage: FileStorage,
+    queue: &Receiver<Vec<DiskWork>>,
+    control: &mpsc::UnboundedSender<Input>,
+) {
+    let sync_ms = metrics::histogram!("hemlock_coordinator_sync_ms");
+    while let Ok(first) = queue.recv() {
+        let waiting = first.into_iter().chain(queue.try_iter().flatten());
+        let started = Instant::now();
+        let done = perform(&mut storage, waiting);
+        sync_ms.record(started.elapsed().as_secs_f64() * MS_PER_S);
+        let (input, failed) = match done {
+            Ok(Some(up_to)) => (Input::Synced(up_to), false),
+            Ok(None) => continue,
+            Err(error) => (Input::DiskFailed(error), true),
+        };
+        if control.send(input).is_err() || failed {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlock_nodes/src/message.rs
@@ -0,0 +1,152 @@
+//! Messages between gateways, runners and coordinators.
+
+use bytes::Bytes;
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_quorum::prelude::KeeperId;
+use hemlock_runs::prelude::RefusedStart;
+use serde::{Deserialize, Serialize};
+
+/// What a caller wants of a queue or a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallerAction {
+    /// Hands in a job.
+    Submit(JobSpec),
+    /// Asks for a job's state.
+    State,
+    /// Cancels a job.
+    Cancel,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerRequest {
+    /// The host that the caller named.
+    pub host: String,
+    /// The path that the caller named: a queue's prefix, and a job's id unless the queue itself is
+    /// asked for.
+    pub path: String,
+    /// What is wanted.
+    pub action: CallerAction,
+}
+
+/// A job's state as callers see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has been started.
+    Pending,
+    /// A task has been started.
+    Active,
+    /// It has ended.
+    Ended(JobOutcome),
+}
+
+/// The answer to a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallerAnswer {
+    /// The job is kept.
+    Accepted,
+    /// The job's state.
+    State(JobState),
+    /// The job is cancelled, or had ended.
+    Canceled,
+    /// Accepted jobs of the queue of which no task has been started.
+    PendingJobs(u64),
+    /// There is no such queue.
+    NoSuchQueue,
+    /// There is no such job.
+    NoSuchJob,
+    /// The path names no job.
+    BadJobId,
+    /// Nothing is kept of the job; it may be handed in again after the time.
+    Rejected {
+        /// Why.
+        reason: Rejection,
+        /// Milliseconds from now.
+        retry_after_ms: u64,
+    },
+    /// It isn't known whether the request took effect.
+    Undecided,
+}
+
+/// Why a job was not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Rejection {
+    /// It could not be served while its result is of use.
+    Overload,
+    /// No configuration is in force yet.
+    NoConfiguration,
+    /// No leader can be reached.
+    NoLeader,
+}
+
+/// Requests to a coordinator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// A message of the replicated log, between coordinators.
+    Quorum(Bytes),
+    /// Asks who leads.
+    WhoLeads,
+    /// A caller's request.
+    Call(CallerRequest),
+    /// Begins a runner's session.
+    Register(AgentId),
+    /// Tells what runs, at the begin of a session.
+    Adopt(AgentId, SessionId, Inventory),
+    /// Asks the leader to confirm that it leads, and the runner's session.
+    Ping(Option<(AgentId, SessionId)>),
+    /// Tells of ends and of starts that came to nothing.
+    Report(AgentId, SessionId, Report),
+    /// Tells that the instance changed, and whether what ran is over.
+    InstanceChanged(AgentId, SessionId, Option<InstanceReport>, bool),
+}
+
+/// Ends of runs, and starts that came to nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Ends.
+    pub ended: Vec<RunReport>,
+    /// Starts.
+    pub refused: Vec<RefusedStart>,
+}
+
+/// Answers of a coordinator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Done.
+    Done,
+    /// Who leads, as far as the coordinator knows.
+    Leads {
+        /// Whether it is this coordinator, and it serves.
+        here: bool,
+        /// The leader.
+        leader: Option<KeeperId>,
+        /// The keeper set.
+        members: Vec<KeeperId>,
+    },
+    /// Nothing was done, because this coordinator doesn't lead.
+    NotLeader,
+    /// The answer to a caller.
+    Call(CallerAnswer),
+    /// The session has begun.
+    Registered {
+        /// The session.
+        session: SessionId,
+        /// The fencing number of its calls to the instance.
+        fence: u64,
+    },
+    /// The runs are adopted, and all ends told of are settled.
+    Adopted(Vec<StopOrder>),
+    /// The session is void.
+    VoidSession,
+    /// It isn't known whether the request took effect.
+    Undecided,
+}
+
+/// Requests of a leading coordinator to a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerRequest(pub Order);
+
+/// A runner's answer to orders: the starts that it refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerReply(pub Vec<RefusedStart>);
--- /dev/null
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -0,0 +1,119 @@
+//! Renewing leases, and hearing of ends.
+
+use std::rc::Rc;
+
+use hemlock_runs::prelude::*;
+use hemlock_types::prelude::*;
+use tracing::warn;
+
+use super::Runner;
+
+/// How long the instance may wait for an end: leases last longer by more than a lost answer costs.
+const WAIT: DurationMs = DurationMs::new(300);
+/// How long it may wait while a stop is due to take effect.
+const STOPPING_WAIT: DurationMs = DurationMs::new(30);
+/// Time beyond the wait after which a listing counts as unanswered.
+const ANSWER_TIME: DurationMs = DurationMs::new(200);
+/// Pause while an end waits to be settled: the instance would repeat it at once.
+const UNSETTLED_PAUSE: DurationMs = DurationMs::new(10);
+/// Pause while there is nothing to list or no right to do so.
+const IDLE_PAUSE: DurationMs = DurationMs::new(100);
+/// Pause after an instance was found to be gone.
+const GONE_PAUSE: DurationMs = DurationMs::new(200);
+/// Silence beyond the longest lease after which nothing can run.
+const SILENCE_MARGIN: DurationMs = DurationMs::new(100);
+
+impl Runner {
+    /// Renews leases and takes in ends. Never returns.
+    pub(super) async fn keep_listing(self: &Rc<Self>) {
+        let mut answered_at = self.clock.now();
+        loop {
+            let Some(call) = self.next_listing().await else {
+                answered_at = self.clock.now();
+                self.pause(IDLE_PAUSE).await;
+                continue;
+            };
+            let asked_at = self.clock.now();
+            let answer = self.driver.list(call).await;
+            let now = self.clock.now();
+            if self.runs.borrow().fence() != Some(call.fence) {
+                continue;
+            }
+            match answer {
+                Ok(listing) => {
+                    answered_at = asked_at;
+                    self.take_listing(now, asked_at, &listing);
+                }
+                Err(ListFault::Unanswered) => {
+                    let longest = self.runs.borrow().longest_lease();
+                    let silent = now > answered_at + longest + SILENCE_MARGIN;
+                    if silent {
+                        self.lose_instance("silent");
+                    }
+                }
+                Err(ListFault::Gone) => {
+                    self.lose_instance("gone");
+                    self.pause(GONE_PAUSE).await;
+                }
+                Err(ListFault::OtherInstance) => {
+                    self.lose_instance("another");
+                    self.driver.set_target(None);
+                }
+                Err(ListFault::Fenced) => {
+                    warn!(event = "fenced", fence = call.fence);
+                    if let Some(link) = self.connector.leader() {
+                        self.connector.give_up(&link);
+                    }
+                    self.pause(GONE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// The next call, once it is due; `None` when none may be made.
+    async fn next_listing(&self) -> Option<ListCall> {
+        if self.runs.borrow().has_unsettled_ends() {
+            self.pause(UNSETTLED_PAUSE).await;
+        }
+        let runs = self.runs.borrow();
+        let now = self.clock.now();
+        let fence = runs.fence().filter(|_| runs.is_listed() && runs.may_act(now))?;
+        let wait = match (runs.has_unsettled_ends(), runs.is_stopping()) {
+            (true, _) => DurationMs::new(0),
+            (false, true) => STOPPING_WAIT,
+            (false, false) => WAIT,
+        };
+        Some(ListCall {
+            fence,
+            lease_until_ms: runs.lease_until_ms(now),
+            settled: runs.settled(),
+            wait_ms: wait.as_ms(),
+            timeout_ms: wait.as_ms() + ANSWER_TIME.as_ms(),
+        })
+    }
+
+    async fn pause(&self, span: DurationMs) {
+        // Either way the loop goes on.
+        let _ = tokio::time::timeout(span.as_std(), self.listing_due.notified()).await;
+    }
+
+    fn take_listing(self: &Rc<Self>, now: Instant, asked_at: Instant, listing: &Listing) {
+        let (change, mut calls) = {
+            let mut runs = self.runs.borrow_mut();
+            let (change, calls) = runs.take_listing(now, asked_at, listing);
+            (change, calls)
+        };
+        calls.extend(self.runs.borrow_mut().take_stop_retries());
+        self.tell_change(change);
+        self.make_calls(calls);
+        self.tell_outcomes();
+    }
+
+    fn lose_instance(self: &Rc<Self>, cause: &'static str) {
+        let change = self.runs.borrow_mut().instance_lost();
+        if change != InstanceChange::None {
+            warn!(event = "instance-lost", cause);
+        }
+        self.tell_change(change);
+    }
+}
--- a/crates/hemlock_quorum/src/config.rs
+++ b/crates/hemlock_quorum/src/config.rs
@@ -18,6 +18,15 @@
     /// change of the set the settings should name the present keepers: founders that all run on
     /// empty disks, out of reach of the present keepers, would found a second cluster.
     pub founders: Vec<KeeperId>,
+    /// Whether this keeper may found a cluster at all. Where the settings can't tell the present
+    /// keepers for certain, only the very first start of a cluster should allow it.
+    pub may_found: bool,
+    /// Voters that the leader keeps the set at by itself: it takes in keepers that call, as
+    /// learners, makes learners voters up to this number, and lets a learner take the place of a
+    /// voter that has fallen silent. `None` leaves all additions and removals to operators.
+    pub target_voters: Option<usize>,
+    /// How long a voter must be silent before another takes its place.
+    pub replace_after_ms: u64,
     /// Time between a leader's heartbeats.
     pub heartbeat_ms: u64,
     /// The shortest time without a leader before a follower campaigns.
@@ -59,6 +68,9 @@
             me,
             incarnation,
             founders,
+            may_found: true,
+            target_voters: None,
+            replace_after_ms: 1_500,
             heartbeat_ms: 100,
             election_min_ms: 400,
             election_max_ms: 800,
@@ -101,6 +113,27 @@
         self
     }
 
+    /// The same settings with a keeper set that the leader keeps at `voters` by itself.
+    #[must_use]
+    pub fn with_target_voters(mut self, voters: usize) -> Self {
+        self.target_voters = Some(voters);
+        self
+    }
+
+    /// The same settings with or without the right to found a cluster.
+    #[must_use]
+    pub fn with_founding(mut self, may_found: bool) -> Self {
+        self.may_found = may_found;
+        self
+    }
+
+    /// The same settings with another bound on the bytes between two snapshots.
+    #[must_use]
+    pub fn with_bytes_per_snapshot(mut self, bytes: u64) -> Self {
+        self.snapshot_after_bytes = bytes;
+        self
+    }
+
     /// Checks that the times fit together.
     ///
     /// # Errors
--- a/crates/hemlock_quorum/src/quorum/members.rs
+++ b/crates/hemlock_quorum/src/quorum/members.rs
@@ -13,6 +13,9 @@
 /// Entries that a learner may lack when it is made a voter.
 const PROMOTION_LAG_ENTRIES: u64 = 64;
 
+/// Most members of a set that the leader extends by itself.
+const MAX_OWN_MEMBERS: usize = 16;
+
 /// How long a keeper's call counts, in longest election timeouts.
 const CALL_COUNTS_TIMEOUTS: u64 = 5;
 
@@ -106,7 +109,11 @@
         if self.check_proposal().is_err() {
             return;
         }
-        let change = self.due_replacement().or_else(|| self.due_promotion());
+        let change = self
+            .due_replacement()
+            .or_else(|| self.due_removal())
+            .or_else(|| self.due_promotion())
+            .or_else(|| self.due_addition());
         if let Some(Ok(changed)) = change.map(|change| self.changed_members(change)) {
             self.append_own(Payload::Members(changed));
             self.refresh_followers();
@@ -123,7 +130,55 @@
         self.log.members().iter().find_map(replaced)
     }
 
+    /// A silent voter beyond the number of voters that the set is kept at.
+    fn due_removal(&self) -> Option<MemberChange> {
+        let target = self.config.target_voters?;
+        let crowded = self.log.members().voters().count() > target;
+        let silent = self.silent_voter().filter(|_| crowded)?;
+        Some(MemberChange::Remove(silent))
+    }
+
+    /// A keeper that has called and belongs to no set yet.
+    fn due_addition(&self) -> Option<MemberChange> {
+        self.config.target_voters?;
+        let members = self.log.members();
+        if members.iter().count() >= MAX_OWN_MEMBERS {
+            return None;
+        }
+        let unknown = |id: &KeeperId| members.get(*id).is_none() && self.joined(*id).is_some();
+        self.joiners
+            .keys()
+            .copied()
+            .find(unknown)
+            .map(MemberChange::Add)
+    }
+
+    /// A voter that has not answered for so long that another may take its place.
+    fn silent_voter(&self) -> Option<KeeperId> {
+        let leading = self.leading()?;
+        let patience = DurationMs::new(self.config.replace_after_ms);
+        let is_silent = |id: KeeperId| {
+            let heard = self.follower(id).and_then(|follower| follower.heard);
+            self.now > heard.unwrap_or(leading.since).max(leading.since) + patience
+        };
+        let mut voters = self.log.members().voters().map(|(id, _)| id);
+        voters.find(|id| *id != self.config.me && is_silent(*id))
+    }
+
+    /// Whether one more voter is wanted: the set is too small, or a voter has fallen silent.
+    fn wants_voter(&self) -> bool {
+        let voters = self.log.members().voters().count();
+        match self.config.target_voters {
+            None => true,
+            Some(target) if voters < target => true,
+            Some(target) => voters == target && self.silent_voter().is_some(),
+        }
+    }
+
     fn due_promotion(&self) -> Option<MemberChange> {
+        if !self.wants_voter() {
+            return None;
+        }
         self.log
             .members()
             .iter()
--- a/crates/hemlock_telemetry/src/setup.rs
+++ b/crates/hemlock_telemetry/src/setup.rs
@@ -3,6 +3,7 @@
 use std::sync::OnceLock;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::format::FmtSpan;
 
@@ -14,7 +15,17 @@
     5_000.0, 10_000.0, 60_000.0,
 ];
 
+/// Log lines that may wait to be written; more are dropped and counted.
+const MAX_WAITING_LINES: usize = 4_096;
+
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+static LOG_WRITER: OnceLock<LogWriter> = OnceLock::new();
+
+/// The thread that writes log lines, and how many it never got.
+struct LogWriter {
+    _guard: WorkerGuard,
+    dropped: ErrorCounter,
+}
 
 /// What to log and count.
 #[derive(Clone, Debug)]
@@ -23,6 +34,8 @@
     pub log_filter: String,
     /// Whether to write log lines at all.
     pub logs: bool,
+    /// Whether to write them to standard output, through a bounded queue that never blocks.
+    pub to_stdout: bool,
 }
 
 impl Default for TelemetryConfig {
@@ -30,6 +43,7 @@
         Self {
             log_filter: "info".to_owned(),
             logs: true,
+            to_stdout: false,
         }
     }
 }
@@ -50,6 +64,16 @@
     }
 }
 
+impl TelemetryConfig {
+    /// Writes log lines to standard output. Lines that can't be written in time are dropped and
+    /// counted.
+    #[must_use]
+    pub fn with_stdout(mut self) -> Self {
+        self.to_stdout = true;
+        self
+    }
+}
+
 /// Installs the logs and the metrics recorder of this process.
 ///
 /// # Errors
@@ -57,22 +81,43 @@
 /// [`TelemetryError`] when the filter does not parse or something else is installed already.
 pub fn start(config: &TelemetryConfig) -> Result<(), TelemetryError> {
     if config.logs {
-        install_logs(&config.log_filter)?;
+        install_logs(config)?;
     }
     install_metrics()
 }
 
-fn install_logs(filter: &str) -> Result<(), TelemetryError> {
-    let filter =
-        EnvFilter::try_new(filter).map_err(|_| TelemetryError::Filter(filter.to_owned()))?;
-    tracing_subscriber::fmt()
+fn install_logs(config: &TelemetryConfig) -> Result<(), TelemetryError> {
+    let filter = EnvFilter::try_new(&config.log_filter)
+        .map_err(|_| TelemetryError::Filter(config.log_filter.clone()))?;
+    let logs = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_span_events(FmtSpan::NONE)
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .try_init()
-        .map_err(|_| TelemetryError::LogsInstalled)
+        .with_env_filter(filter);
+    let installed = match config.to_stdout {
+        false => logs.with_writer(std::io::stderr).try_init(),
+        true => {
+            let (writer, guard) = NonBlockingBuilder::default()
+                .lossy(true)
+                .buffered_lines_limit(MAX_WAITING_LINES)
+                .finish(std::io::stdout());
+            let dropped = writer.error_counter();
+            // A second writer would only be made if the first had failed to install.
+            let _ = LOG_WRITER.set(LogWriter {
+                _guard: guard,
+                dropped,
+            });
+            logs.with_writer(writer).try_init()
+        }
+    };
+    installed.map_err(|_| TelemetryError::LogsInstalled)
+}
+
+/// Log lines that were dropped because the writer could not keep up.
+pub fn dropped_log_lines() -> u64 {
+    LOG_WRITER
+        .get()
+        .map_or(0, |writer| writer.dropped.dropped_lines() as u64)
 }
 
 fn install_metrics() -> Result<(), TelemetryError> {
--- a/crates/hemlock_types/src/time.rs
+++ b/crates/hemlock_types/src/time.rs
@@ -9,6 +9,8 @@
 
 /// Microseconds in a millisecond.
 const MICROS_PER_MS: u64 = 1_000;
+/// Nanoseconds in a microsecond.
+const NANOS_PER_MICRO: u64 = 1_000;
 
 /// A span of time in whole milliseconds.
 #[derive(
@@ -110,27 +112,38 @@
     fn now(&self) -> Instant;
 }
 
-/// The operating system's monotonic clock, from the moment this value was made.
+/// The operating system's clock of the time since boot, from the moment this value was made.
+///
+/// Unlike [`std::time::Instant`] it counts the time for which the machine was suspended, so that a
+/// lease that ran out meanwhile is seen to have done so.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    origin: std::time::Instant,
+    origin_us: u64,
 }
 
 impl SystemClock {
     /// A clock whose origin is now.
     pub fn start() -> Self {
         Self {
-            origin: std::time::Instant::now(),
+            origin_us: since_boot_us(),
         }
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::from_micros(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
+        Instant::from_micros(since_boot_us().saturating_sub(self.origin_us))
     }
 }
 
+/// Microseconds since boot, suspension counted in.
+fn since_boot_us() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(now.tv_nsec).unwrap_or(0);
+    seconds * MICROS_PER_MS * MICROS_PER_MS + nanos / NANOS_PER_MICRO
+}
+
 /// A clock that stands still until a test advances it. Clones share the time.
 #[derive(Clone, Debug, Default)]
 pub struct ManualClock {
--- a/crates/hemlock_wire/src/link.rs
+++ b/crates/hemlock_wire/src/link.rs
@@ -78,6 +78,11 @@
         Ok(decode(&answer)?)
     }
 
+    /// Whether both stand on the same connection.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.state, &other.state)
+    }
+
     /// Whether the connection is known to be closed.
     pub fn is_closed(&self) -> bool {
         self.state.is_closed()
