--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -7,6 +7,9 @@
 use crate::job::TaskState;
 use crate::order::{EndVerdict, RefusalReason, RunEnd, RunReport, SessionId};
 
+/// Run numbers that are passed over when one was refused as outdated.
+const RUNS_SKIPPED: u64 = 100;
+
 impl Dispatcher {
     /// Notes an end that an agent has reported in its session.
     pub fn report_end(
@@ -62,6 +65,13 @@
         }
     }
 
+    fn skip_run_numbers(&mut self, task: TaskKey) {
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(task)) {
+            task.last_run = RunNumber(task.last_run.0 + RUNS_SKIPPED);
+        }
+    }
+
     fn task_state(&mut self, task: TaskKey) -> Option<TaskState> {
         let job = self.jobs.get_mut(&task.job)?;
         job.task_mut(task).map(|task| task.state)
@@ -148,7 +158,9 @@
             RefusalReason::NoRoom
             | RefusalReason::NoInstance
             | RefusalReason::Session
-            | RefusalReason::Outdated => {}
+            | RefusalReason::Withdrawn => {}
+            // Another owner of the same job has used higher numbers.
+            RefusalReason::Outdated => self.skip_run_numbers(task),
         }
         self.run_is_over(id, task, number);
     }
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -9,7 +9,7 @@
 pub use admission::AdmitRefusal;
 pub use sessions::Adoption;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
@@ -17,9 +17,11 @@
 use crate::instance::Agent;
 use crate::job::{Job, Policy, Step, Task, TaskState, spec_chain_ms};
 use crate::order::SessionId;
-use crate::ranking::{Rank, judge_promise};
+use crate::ranking::{Promise, Rank, judge_promise};
 use crate::settings::DispatchSettings;
 
+/// How long the run numbers of a dropped job are remembered.
+const DROPPED_RUNS_KEPT: DurationMs = DurationMs::new(10_000);
 /// Run numbers that one leader may use for a task before the next leader's begin.
 const RUNS_PER_GENERATION: u64 = 1_000;
 
@@ -54,6 +56,9 @@
     /// Whether something has changed that may allow another start.
     placement_due: bool,
     next_scan: Instant,
+    /// The highest run numbers of jobs that were dropped, the oldest first: the same job may be
+    /// handed in again.
+    dropped_runs: VecDeque<(Instant, JobId, RunNumber)>,
 }
 
 impl Dispatcher {
@@ -73,6 +78,7 @@
             takeover_until: Some(now + settings.expiry()),
             placement_due: true,
             next_scan: now,
+            dropped_runs: VecDeque::new(),
         };
         if let Some(configuration) = book.configuration() {
             dispatcher.configure(configuration);
@@ -120,7 +126,9 @@
         let useless_ms = objective.as_ms() as f64 * self.settings.useless_after_objectives;
         let since_us = age.as_ms() * 1_000;
         let began = Instant::from_micros(self.now.as_micros().saturating_sub(since_us));
-        let run_floor = self.run_floor;
+        let dropped = self.dropped_runs.iter().rev();
+        let earlier = dropped.filter(|(_, job, _)| *job == id).map(|(_, _, run)| *run);
+        let run_floor = earlier.fold(self.run_floor, RunNumber::max);
         let step = |(spec, progress): (&StepSpec, &Vec<TaskProgress>)| {
             let task = |progress: &TaskProgress| Task {
                 state: match progress.done {
@@ -175,6 +183,7 @@
         if let Some(rank) = job.rank {
             self.ready.remove(&rank);
         }
+        self.remember_runs(id, &job);
         for agent in self.agents.values_mut() {
             let runs: Vec<TaskKey> = agent
                 .runs
@@ -187,6 +196,36 @@
         }
     }
 
+    /// Keeps the run numbers of a dropped job from being used again.
+    fn remember_runs(&mut self, id: JobId, job: &Job) {
+        let tasks = job.steps.iter().flat_map(|step| &step.tasks);
+        let highest = tasks.map(|task| task.last_run).max();
+        let forgotten = |at: Instant| self.now > at + DROPPED_RUNS_KEPT;
+        while self.dropped_runs.front().is_some_and(|(at, _, _)| forgotten(*at)) {
+            self.dropped_runs.pop_front();
+        }
+        let highest = highest.unwrap_or_default();
+        self.dropped_runs.push_back((self.now, id, highest));
+    }
+
+    /// Ends a job's usefulness at the given moment, if it lasts longer.
+    pub fn limit_usefulness(&mut self, id: JobId, until: Instant) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.useless_at = job.useless_at.min(until);
+        }
+        self.rerank(id);
+    }
+
+    /// Jobs of which nothing has been started, and whose result can't serve anybody any more.
+    pub fn hopeless_jobs(&self) -> Vec<JobId> {
+        let useless = self.ready.iter().rev();
+        useless
+            .take_while(|rank| rank.promise == Promise::Useless)
+            .map(|rank| rank.job)
+            .filter(|id| self.jobs.get(id).is_some_and(|job| !job.started))
+            .collect()
+    }
+
     /// Puts a job at its place among those with tasks to start.
     fn rerank(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -6,7 +6,8 @@
 use super::Dispatcher;
 use crate::instance::{Agent, Run};
 use crate::job::TaskState;
-use crate::order::{Order, StartOrder};
+use crate::order::{Order, StartOrder, Urgency};
+use crate::settings::CapacityView;
 use crate::placement::{Wish, choose};
 
 /// Tasks in a row that find no room, after which the rest waits for the next change.
@@ -22,9 +23,11 @@
         let due = |agent: &Agent| !agent.starts.is_empty() || !agent.stops.is_empty();
         let order = |(id, agent): (&AgentId, &mut Agent)| {
             let session = agent.session.filter(|_| due(agent))?;
+            agent.last_order += 1;
             Some(Order {
                 agent: *id,
                 session,
+                sequence: agent.last_order,
                 instance: agent.instance.as_ref().map(|instance| instance.id.clone()),
                 starts: std::mem::take(&mut agent.starts),
                 stops: std::mem::take(&mut agent.stops),
@@ -105,7 +108,7 @@
             }
         };
         let agents = self.agents.iter().map(|(id, agent)| (*id, agent));
-        choose(self.now, &wish, agents, spread_holds)
+        choose(self.now, &wish, self.settings.capacity, agents, spread_holds)
     }
 
     fn start(&mut self, key: TaskKey, id: AgentId) {
@@ -129,6 +132,11 @@
         job.set_state(key, TaskState::Running(id, run));
         job.started = true;
         let payload = job.payload.clone();
+        let urgency = Urgency {
+            class: job.rank.map_or(0, |rank| rank.promise as u8),
+            priority: job.priority,
+            due_in_ms: job.due.since(now).as_ms(),
+        };
         let Some(agent) = self.agents.get_mut(&id) else {
             return;
         };
@@ -140,10 +148,13 @@
                 ordered_at: now,
                 expected_ms: estimate_ms,
                 stopping: false,
+                order: agent.last_order + 1,
             },
         );
+        let capacity = agent.instance.as_ref().map(|instance| instance.capacity);
         assert!(
-            agent.instance.as_ref().is_some_and(|i| i.capacity.fits(&agent.used)),
+            self.settings.capacity == CapacityView::Shared
+                || capacity.is_some_and(|capacity| capacity.fits(&agent.used)),
             "the runs of agent {id} fit its instance"
         );
         agent.starts.push(StartOrder {
@@ -151,6 +162,7 @@
             run,
             payload,
             needs,
+            urgency,
         });
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -6,7 +6,7 @@
 use super::Dispatcher;
 use crate::instance::{Agent, Run};
 use crate::job::TaskState;
-use crate::order::{EndVerdict, InstanceReport, Inventory, RunReport, SessionId, StopOrder};
+use crate::order::{EndVerdict, InstanceReport, Inventory, Room, RunReport, SessionId, StopOrder};
 
 /// What an agent is to do after it has told what runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,6 +26,7 @@
         let agent = self.agents.entry(id).or_insert_with(|| Agent::new(now));
         agent.session = Some(session);
         agent.adopted = false;
+        agent.room = None;
         agent.starts.clear();
         agent.stops.clear();
         session
@@ -97,6 +98,7 @@
             ordered_at: now,
             expected_ms,
             stopping: false,
+            order: 0,
         });
         let stopping = !wanted;
         agent.add_run(task, Run { stopping, ..run });
@@ -180,6 +182,23 @@
         self.placement_due = true;
     }
 
+    /// Notes what an instance has left for all that order starts there.
+    pub fn room_reported(&mut self, now: Instant, id: AgentId, session: SessionId, room: Room) {
+        self.advance(now);
+        if let Some(agent) = self.in_session(id, session) {
+            agent.room = Some(room);
+            self.placement_due = true;
+        }
+    }
+
+    /// The runs that are believed to be at an agent's instance.
+    pub fn runs_of(&self, id: AgentId) -> Vec<(TaskKey, RunNumber, Resources)> {
+        let agent = self.agents.get(&id);
+        let runs = agent.into_iter().flat_map(|agent| &agent.runs);
+        runs.map(|(task, run)| (*task, run.number, run.needs))
+            .collect()
+    }
+
     /// Returns every run of an agent to the waiting tasks, because none can be alive.
     pub(super) fn lose_runs(&mut self, id: AgentId) {
         let Some(agent) = self.agents.get_mut(&id) else {
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -6,7 +6,7 @@
 use hemlock_types::time::Instant;
 
 use crate::health::Health;
-use crate::order::{InstanceReport, SessionId, StartOrder, StopOrder};
+use crate::order::{InstanceReport, Room, SessionId, StartOrder, StopOrder};
 
 /// One run at an instance. It takes room until it is known to be over.
 #[derive(Clone, Copy, Debug)]
@@ -17,6 +17,8 @@
     /// How long it should take, in milliseconds.
     pub(crate) expected_ms: u64,
     pub(crate) stopping: bool,
+    /// The order that carried its start.
+    pub(crate) order: u64,
 }
 
 /// One agent.
@@ -29,6 +31,10 @@
     pub(crate) confirmed: Instant,
     pub(crate) instance: Option<InstanceReport>,
     pub(crate) used: Resources,
+    /// What the agent says is left, where others order starts there too.
+    pub(crate) room: Option<Room>,
+    /// The last order to the agent.
+    pub(crate) last_order: u64,
     pub(crate) runs: HashMap<TaskKey, Run>,
     pub(crate) health: Health,
     /// Orders that are to be sent.
@@ -44,6 +50,8 @@
             confirmed: now,
             instance: None,
             used: Resources::default(),
+            room: None,
+            last_order: 0,
             runs: HashMap::new(),
             health: Health::default(),
             starts: Vec::new(),
@@ -57,8 +65,15 @@
         self.session.is_some() && self.adopted && self.instance.as_ref().is_some_and(stays)
     }
 
-    /// What its instance has left.
+    /// What its instance has left, as far as is known.
     pub(crate) fn free(&self) -> Resources {
+        if let Some(room) = &self.room {
+            let mut unknown_to_agent = Resources::default();
+            let runs = self.runs.values();
+            let newer = runs.filter(|run| run.order > room.last_order);
+            newer.for_each(|run| unknown_to_agent.add(&run.needs));
+            return room.free.minus(&unknown_to_agent);
+        }
         self.instance
             .as_ref()
             .map(|instance| instance.capacity.minus(&self.used))
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -27,8 +27,8 @@
 pub mod prelude {
     pub use crate::dispatcher::{AdmitRefusal, Dispatcher, JobStage};
     pub use crate::order::{
-        EndVerdict, InstanceId, InstanceReport, Inventory, Order, RefusalReason, RunEnd, RunReport,
-        SessionId, StartOrder, StopOrder,
+        EndVerdict, InstanceId, InstanceReport, Inventory, Order, RefusalReason, Room, RunEnd,
+        RunReport, SessionId, StartOrder, StopOrder, Urgency,
     };
-    pub use crate::settings::DispatchSettings;
+    pub use crate::settings::{CapacityView, DispatchSettings};
 }
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -104,6 +104,32 @@
     pub payload: Bytes,
     /// What it takes of the instance.
     pub needs: Resources,
+    /// Its place among the starts that wait at the instance.
+    pub urgency: Urgency,
+}
+
+/// Place of a start among those of all owners that wait at one instance; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Urgency {
+    /// 0 while the job can be prompt, 1 while it can be late, 2 when it serves nobody any more.
+    pub class: u8,
+    /// The queue's priority.
+    pub priority: u32,
+    /// Milliseconds that were left until the job was due when the start was ordered.
+    pub due_in_ms: u64,
+}
+
+/// What an instance has left, as told to one owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// What neither runs nor starts that wait there take.
+    pub free: Resources,
+    /// Starts of all owners that wait there.
+    pub waiting: u32,
+    /// Owners that order starts there.
+    pub owners: u32,
+    /// The last of the owner's orders that is taken into account.
+    pub last_order: u64,
 }
 
 /// Stops one run.
@@ -122,6 +148,8 @@
     pub agent: AgentId,
     /// The session in which the orders hold.
     pub session: SessionId,
+    /// Numbers the owner's orders to the agent.
+    pub sequence: u64,
     /// The life of the instance that the starts are for.
     pub instance: Option<InstanceId>,
     /// Runs to start.
@@ -148,6 +176,9 @@
     /// The start came too late, or its run number has been passed.
     #[display("outdated")]
     Outdated,
+    /// The owner took the start back before it was carried out.
+    #[display("withdrawn")]
+    Withdrawn,
     /// The instance gave no answer, and has since confirmed that nothing runs.
     #[display("unanswered")]
     Unanswered,
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -5,9 +5,20 @@
 /// Per mille of true time that an instance's clock may lose.
 const SLOW_CLOCK_PER_MILLE: u64 = 20;
 
+/// How a dispatcher knows what instances have left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CapacityView {
+    /// It is the only one that orders starts, and counts by itself.
+    Own,
+    /// Others order starts too, and the agents tell what is left.
+    Shared,
+}
+
 /// Times and bounds of the dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchSettings {
+    /// How it knows what instances have left.
+    pub capacity: CapacityView,
     /// How long an agent may act on a confirmation, counted from its request, in milliseconds.
     pub authority_ms: u64,
     /// Longest lease of a run on the instance's clock, in milliseconds.
@@ -23,6 +34,7 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
+            capacity: CapacityView::Own,
             authority_ms: 2_000,
             lease_ms: 1_000,
             margin_ms: 250,
--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -118,7 +118,7 @@
                 .map_err(|_| Refusal::Slow)??;
             let head_only = head.method == Method::Head;
             let keep_alive = head.keep_alive;
-            let response = self.answer(head, body).await;
+            let response = self.answer(head, body).await?;
             let keep_alive = keep_alive && !*self.stop.borrow();
             self.shared.count_answer(response.status);
             self.write(&response.into_bytes(head_only, !keep_alive))
@@ -195,7 +195,8 @@
             .map_err(|_| Refusal::Busy.into())
     }
 
-    async fn answer(&self, head: Head, body: Bytes) -> HttpResponse {
+    /// Has the request answered; ends when the caller leaves first.
+    async fn answer(&mut self, head: Head, body: Bytes) -> Result<HttpResponse, Closing> {
         let request = HttpRequest {
             method: head.method,
             path: head.path,
@@ -206,9 +207,14 @@
         };
         let (responder, answer) = Responder::new();
         self.shared.handler.handle(request, responder);
-        answer.await.unwrap_or_else(|_| {
+        let dropped = |_| {
             HttpResponse::error(500, "internal", "the request was dropped without an answer")
-        })
+        };
+        tokio::select! {
+            biased;
+            response = answer => Ok(response.unwrap_or_else(dropped)),
+            () = left(&mut self.stream, &mut self.buffer) => Err(Closing::Silent),
+        }
     }
 
     async fn write(&mut self, bytes: &[u8]) -> Result<(), Closing> {
@@ -246,6 +252,19 @@
     }
 }
 
+/// Returns once the caller has closed its connection. What it sends meanwhile is kept, up to the
+/// size of one read; beyond that it is left in the connection, and a close is noticed later.
+async fn left(stream: &mut TcpStream, buffer: &mut BytesMut) {
+    while buffer.len() < READ_CHUNK_BYTES {
+        buffer.reserve(READ_CHUNK_BYTES);
+        match stream.read_buf(buffer).await {
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+    }
+    std::future::pending().await
+}
+
 /// The whole answer to a refused request.
 pub(crate) fn refusal_bytes(refusal: Refusal) -> Vec<u8> {
     // It claims no outcome: an earlier sending of the same work may have run.
--- a/crates/hemlock_http/src/responder.rs
+++ b/crates/hemlock_http/src/responder.rs
@@ -25,6 +25,11 @@
         drop(self.sender.send(response));
     }
 
+    /// Returns once the caller's connection is gone, so that no answer can reach it.
+    pub async fn abandoned(&mut self) {
+        self.sender.closed().await;
+    }
+
     /// Whether the caller's connection is gone, so that no answer can reach it.
     pub fn is_abandoned(&self) -> bool {
         self.sender.is_closed()
--- a/crates/hemlock_jobs/src/book.rs
+++ b/crates/hemlock_jobs/src/book.rs
@@ -45,6 +45,7 @@
     /// Ended jobs in the order in which they ended, with the time.
     ended: VecDeque<(u64, JobId)>,
     agents: BTreeSet<AgentId>,
+    agents_version: u64,
 }
 
 /// The form of a snapshot.
@@ -56,6 +57,7 @@
     jobs: Vec<NamedRecord>,
     ended: VecDeque<(u64, JobId)>,
     agents: BTreeSet<AgentId>,
+    agents_version: u64,
 }
 
 impl JobBook {
@@ -82,6 +84,7 @@
             jobs: stored.jobs.into_iter().collect(),
             ended: stored.ended,
             agents: stored.agents,
+            agents_version: stored.agents_version,
         };
         Ok(())
     }
@@ -105,6 +108,7 @@
             jobs,
             ended: self.ended.clone(),
             agents: self.agents.clone(),
+            agents_version: self.agents_version,
         };
         Ok(postcard::to_stdvec(&stored)?.into())
     }
@@ -128,11 +132,11 @@
             Command::Cancel(id) => self.cancel(*id),
             Command::End(key, run, end) => self.end_task(*key, *run, *end),
             Command::Enlist(agent) => {
-                self.agents.insert(*agent);
+                self.agents_version += u64::from(self.agents.insert(*agent));
                 Applied::Done
             }
             Command::Delist(agent) => {
-                self.agents.remove(agent);
+                self.agents_version += u64::from(self.agents.remove(agent));
                 Applied::Done
             }
         }
@@ -222,6 +226,16 @@
         self.jobs.iter().map(|(id, record)| (*id, record))
     }
 
+    /// How often the set of agents has changed.
+    pub fn agents_version(&self) -> u64 {
+        self.agents_version
+    }
+
+    /// Drops a job, whatever its state. Only for records that are not replicated.
+    pub fn forget(&mut self, id: JobId) {
+        self.jobs.remove(&id);
+    }
+
     /// Agents that may hold runs.
     pub fn agents(&self) -> &BTreeSet<AgentId> {
         &self.agents
--- a/crates/hemlock_jobs/src/config.rs
+++ b/crates/hemlock_jobs/src/config.rs
@@ -32,7 +32,7 @@
 
 /// A pool of instances.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Service {
+pub struct ServicePool {
     /// Its name.
     pub name: String,
 }
@@ -45,7 +45,7 @@
     /// All queues.
     pub queues: Vec<Queue>,
     /// All services.
-    pub services: Vec<Service>,
+    pub services: Vec<ServicePool>,
     /// The document as the operator sent it, which is read back whole.
     pub document: Bytes,
 }
--- a/crates/hemlock_jobs/src/lib.rs
+++ b/crates/hemlock_jobs/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod prelude {
     pub use crate::book::{Applied, JobBook};
     pub use crate::command::{Acceptance, Batch, Command, TaskEnd};
-    pub use crate::config::{Configuration, Queue, QueueMatch, Service};
+    pub use crate::config::{Configuration, Queue, QueueMatch, ServicePool};
     pub use crate::error::{BookError, ConfigurationFault, SpecFault};
     pub use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
     pub use crate::record::{JobOutcome, JobRecord, OpenJob, TaskProgress};
--- a/crates/hemlock_jobs/src/spec.rs
+++ b/crates/hemlock_jobs/src/spec.rs
@@ -97,12 +97,26 @@
     pub payload: Bytes,
     /// The steps.
     pub steps: Vec<StepSpec>,
+    /// Whether the job need not be kept: its caller waits for its end, and hands it in again when
+    /// no answer comes.
+    pub best_effort: bool,
 }
 
 impl JobSpec {
     /// A job of the given steps.
     pub fn new(payload: Bytes, steps: Vec<StepSpec>) -> Self {
-        Self { payload, steps }
+        Self {
+            payload,
+            steps,
+            best_effort: false,
+        }
+    }
+
+    /// The same job, kept or not.
+    #[must_use]
+    pub fn with_best_effort(mut self, best_effort: bool) -> Self {
+        self.best_effort = best_effort;
+        self
     }
 
     /// Tasks of all steps.
--- a/crates/hemlock_nodes/src/connector.rs
+++ b/crates/hemlock_nodes/src/connector.rs
@@ -35,9 +35,9 @@
 }
 
 impl Connector {
-    pub(crate) fn new(identity: Identity, service: Rc<dyn Service>, seeds: Seeds) -> Self {
+    pub(crate) fn new(identity: Rc<Identity>, service: Rc<dyn Service>, seeds: Seeds) -> Self {
         Self {
-            identity: Rc::new(identity),
+            identity,
             service,
             seeds,
             learnt: RefCell::default(),
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -20,6 +20,7 @@
 use super::service::CoordinatorService;
 use super::waiters::{CommandWaiter, ReadWaiter, reply};
 use crate::message::{CallerAnswer, JobState, Reply, RunnerReply, RunnerRequest};
+use super::watchers::Watchers;
 use crate::task_set::TaskSet;
 
 /// Most inputs taken in one pass.
@@ -31,8 +32,6 @@
 const ORDER_TIMEOUT: DurationMs = DurationMs::new(800);
 /// Longest time that a planned stop waits for leadership to be handed over.
 const DRAIN_TIMEOUT: DurationMs = DurationMs::new(1_000);
-/// Bits of a fencing number that count a leader's sessions; the term stands above them.
-const SESSION_BITS: u32 = 20;
 
 /// Who waits for the commands of one proposal, in their order.
 type Waiting = Vec<(Command, CommandWaiter)>;
@@ -46,6 +45,8 @@
     pub(super) dispatcher: Option<Dispatcher>,
     pub(super) clock: SystemClock,
     pub(super) now: Instant,
+    /// Gateways that wait for something new.
+    pub(super) watchers: Watchers,
     /// Connections of the runners in session.
     pub(super) sessions: HashMap<AgentId, (SessionId, ConnectionId)>,
     term: Option<Term>,
@@ -85,6 +86,7 @@
             dispatcher: None,
             clock: SystemClock::start(),
             now: Instant::ZERO,
+            watchers: Watchers::default(),
             sessions: HashMap::new(),
             term: None,
             disk,
@@ -167,6 +169,7 @@
         loop {
             self.now = self.clock.now();
             self.send_orders();
+            self.answer_watchers();
             self.flush_reads();
             self.flush_commands();
             if self.events.is_empty() {
@@ -212,7 +215,7 @@
             false => Some(self.last_batch + BATCH_SPAN),
         };
         let dispatch = self.dispatcher.as_ref().map(Dispatcher::next_deadline);
-        let times = [batch, dispatch, self.drain_until];
+        let times = [batch, dispatch, self.drain_until, self.watchers.next_due()];
         let quorum = self.quorum.next_deadline();
         times.into_iter().flatten().fold(quorum, Instant::min)
     }
@@ -242,6 +245,9 @@
         self.term = None;
         self.dispatcher = None;
         self.sessions.clear();
+        for answer in self.watchers.take_all() {
+            reply(answer, Reply::NotLeader);
+        }
         for (_, waiter) in std::mem::take(&mut self.commands) {
             self.refuse(waiter);
         }
@@ -267,12 +273,6 @@
         self.dispatcher.is_some() && until.is_some_and(|until| self.clock.now() < until)
     }
 
-    /// The fencing number of a session in this term.
-    pub(super) fn fence(&self, session: SessionId) -> u64 {
-        let term = self.term.map_or(0, |term| term.0);
-        (term << SESSION_BITS) | session.0
-    }
-
     // Commands.
 
     pub(super) fn propose(&mut self, command: Command, waiter: CommandWaiter) {
@@ -489,6 +489,15 @@
                 // An operator that has gone asks again.
                 let _ = answer.send(read);
             }
+            ReadWaiter::Watch(watcher) => {
+                let configuration = self.book.configuration();
+                let newer = configuration.filter(|held| held.version > watcher.configuration);
+                let version = self.book.agents_version();
+                let agents = (version != watcher.agents)
+                    .then(|| (version, self.book.agents().iter().copied().collect()));
+                let configuration = newer.cloned().map(Box::new);
+                reply(watcher.answer, Reply::Watched { configuration, agents });
+            }
             ReadWaiter::Ping(None, answer) => reply(answer, Reply::Done),
             ReadWaiter::Ping(Some((agent, session)), answer) => {
                 let dispatcher = self.dispatcher.as_mut();
@@ -516,6 +525,7 @@
                 // An operator that has gone asks again.
                 let _ = answer.send(ReadAnswer::NotLeader(self.other_leader()));
             }
+            ReadWaiter::Watch(watcher) => reply(watcher.answer, Reply::NotLeader),
             ReadWaiter::JobState(_, answer)
             | ReadWaiter::QueueCount(_, answer)
             | ReadWaiter::Known(_, answer)
@@ -523,6 +533,15 @@
         }
     }
 
+    /// Answers gateways for which something is new, or that have waited long enough.
+    fn answer_watchers(&mut self) {
+        let configuration = self.book.configuration().map_or(0, |held| held.version);
+        let agents = self.book.agents_version();
+        for watcher in self.watchers.take_due(self.now, configuration, agents) {
+            self.read(ReadWaiter::Watch(watcher));
+        }
+    }
+
     // Orders.
 
     fn send_orders(&mut self) {
@@ -547,7 +566,7 @@
 /// Sends orders to a runner and reports what became of them.
 async fn send_order(link: Option<Link>, order: Order, inputs: mpsc::UnboundedSender<Input>) {
     let (agent, session) = (order.agent, order.session);
-    let request = RunnerRequest(order);
+    let request = RunnerRequest::Order(order);
     let answer = match &link {
         Some(link) => {
             let call = link.call::<_, RunnerReply>(&request);
@@ -557,9 +576,9 @@
         None => None,
     };
     let input = match answer {
-        Some(RunnerReply(refused)) if refused.is_empty() => return,
-        Some(RunnerReply(refused)) => Input::OrderAnswered(agent, session, refused),
-        None => Input::OrderLost(agent, session),
+        Some(RunnerReply::Ordered(refused, _)) if refused.is_empty() => return,
+        Some(RunnerReply::Ordered(refused, _)) => Input::OrderAnswered(agent, session, refused),
+        Some(_) | None => Input::OrderLost(agent, session),
     };
     // A control loop that has ended has no sessions left.
     let _ = inputs.send(input);
--- a/crates/hemlock_nodes/src/coordinator/mod.rs
+++ b/crates/hemlock_nodes/src/coordinator/mod.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod service;
 mod waiters;
+mod watchers;
 
 pub use error::CoordinatorError;
 pub use handle::{ConfigureAnswer, CoordinatorHandle, ReadAnswer};
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -28,6 +28,12 @@
             (Request::WhoLeads, _) => reply(answer, self.who_leads()),
             (Request::Call(call), Role::Entry) => self.take_call(call, answer),
             (Request::Ping(session), _) => self.read(ReadWaiter::Ping(session, answer)),
+            (Request::Watch { configuration, agents }, Role::Entry) => {
+                match self.dispatcher.is_some() {
+                    true => self.watchers.add(self.now, configuration, agents, answer),
+                    false => reply(answer, Reply::NotLeader),
+                }
+            }
             (Request::Register(agent), Role::Agent) => {
                 self.take_registration(peer.connection, agent, answer);
             }
@@ -161,9 +167,8 @@
         };
         let session = dispatcher.register(now, agent);
         entry.0 = session;
-        let fence = self.fence(session);
-        info!(event = "agent-registered", agent = agent.0, session = session.0, fence);
-        reply(answer, Reply::Registered { session, fence });
+        info!(event = "agent-registered", agent = agent.0, session = session.0);
+        reply(answer, Reply::Registered(session));
     }
 
     fn adopt(
--- a/crates/hemlock_nodes/src/coordinator/waiters.rs
+++ b/crates/hemlock_nodes/src/coordinator/waiters.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::handle::{ConfigureAnswer, ReadAnswer};
+use super::watchers::Watcher;
 use crate::message::{CallerAnswer, Reply};
 
 /// Waits for a command to be committed.
@@ -80,6 +81,8 @@
     QueueCount(String, oneshot::Sender<Reply>),
     /// A caller whose answer is known already.
     Known(CallerAnswer, oneshot::Sender<Reply>),
+    /// A gateway that asks what is in force.
+    Watch(Watcher),
     /// An operator that reads the configuration.
     Configuration(oneshot::Sender<ReadAnswer>),
     /// A peer that asks whether this keeper leads, and a runner's session.
--- /dev/null
+++ b/crates/hemlock_nodes/src/gateway/service.rs
@@ -0,0 +1,45 @@
+//! Takes what runners tell.
+
+use std::rc::Weak;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use hemlock_types::prelude::*;
+use hemlock_wire::prelude::*;
+
+use super::Gateway;
+use crate::message::RunnerNews;
+
+/// Serves the connections to runners; keepers call no gateway.
+pub(super) struct GatewayService {
+    gateway: Weak<Gateway>,
+}
+
+impl GatewayService {
+    pub(super) fn new(gateway: Weak<Gateway>) -> Self {
+        Self { gateway }
+    }
+
+    fn take(&self, peer: Peer, frame: &Bytes) -> Result<Bytes, ServiceError> {
+        if peer.role != Role::Agent {
+            return Err(ServiceError::Forbidden);
+        }
+        let news: RunnerNews = decode(frame)?;
+        let gateway = self.gateway.upgrade().ok_or(ServiceError::Closing)?;
+        let now = gateway.clock.now();
+        gateway.engine.borrow_mut().take_news(now, news);
+        gateway.pump();
+        Ok(encode(&())?)
+    }
+}
+
+impl Service for GatewayService {
+    fn answer(
+        &self,
+        peer: Peer,
+        frame: Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, ServiceError>> {
+        std::future::ready(self.take(peer, &frame)).boxed_local()
+    }
+}
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -4,7 +4,7 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_quorum::prelude::KeeperId;
-use hemlock_runs::prelude::RefusedStart;
+use hemlock_runs::prelude::{Claim, RefusedStart};
 use serde::{Deserialize, Serialize};
 
 /// What a caller wants of a queue or a job.
@@ -46,6 +46,8 @@
 pub enum CallerAnswer {
     /// The job is kept.
     Accepted,
+    /// A best-effort job has ended.
+    Finished(JobOutcome),
     /// The job's state.
     State(JobState),
     /// The job is cancelled, or had ended.
@@ -95,6 +97,14 @@
     Adopt(AgentId, SessionId, Inventory),
     /// Asks the leader to confirm that it leads, and the runner's session.
     Ping(Option<(AgentId, SessionId)>),
+    /// Asks for the configuration and the agents once they differ from these versions, or after a
+    /// while.
+    Watch {
+        /// Version of the configuration that is held; zero for none.
+        configuration: u64,
+        /// Version of the set of agents that is held.
+        agents: u64,
+    },
     /// Tells of ends and of starts that came to nothing.
     Report(AgentId, SessionId, Report),
     /// Tells that the instance changed, and whether what ran is over.
@@ -128,13 +138,15 @@
     NotLeader,
     /// The answer to a caller.
     Call(CallerAnswer),
-    /// The session has begun.
-    Registered {
-        /// The session.
-        session: SessionId,
-        /// The fencing number of its calls to the instance.
-        fence: u64,
+    /// What is in force.
+    Watched {
+        /// The configuration, if it is newer than the one held.
+        configuration: Option<Box<Configuration>>,
+        /// The agents, if they differ, with their version.
+        agents: Option<(u64, Vec<AgentId>)>,
     },
+    /// The session has begun.
+    Registered(SessionId),
     /// The runs are adopted, and all ends told of are settled.
     Adopted(Vec<StopOrder>),
     /// The session is void.
@@ -143,10 +155,50 @@
     Undecided,
 }
 
-/// Requests of a leading coordinator to a runner.
+/// Requests to a runner, from the leading coordinator or from a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunnerRequest {
+    /// Orders.
+    Order(Order),
+    /// Begins a gateway's session, with the runs that it believes to be there.
+    Attach(SessionId, Vec<Claim>),
+    /// Shows that a gateway is there.
+    Ping(SessionId),
+}
+
+/// Answers of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunnerReply {
+    /// The orders are taken, but for these starts.
+    Ordered(Vec<RefusedStart>, Room),
+    /// The session has begun.
+    Attached(Inventory, Room),
+    /// The session holds.
+    Alive(Room),
+    /// The session is void.
+    VoidSession,
+}
+
+/// What a runner tells a gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunnerRequest(pub Order);
+pub struct RunnerNews {
+    /// The agent.
+    pub agent: AgentId,
+    /// The gateway's session.
+    pub session: SessionId,
+    /// Ends, and starts that came to nothing.
+    pub report: Report,
+    /// What is left.
+    pub room: Room,
+    /// The instance, if it changed.
+    pub instance: Option<InstanceNews>,
+}
 
-/// A runner's answer to orders: the starts that it refused.
+/// An instance that changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunnerReply(pub Vec<RefusedStart>);
+pub struct InstanceNews {
+    /// The instance, while it is there.
+    pub instance: Option<InstanceReport>,
+    /// Whether what ran before is over.
+    pub runs_lost: bool,
+}
--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -36,7 +36,7 @@
             let asked_at = self.clock.now();
             let answer = self.driver.list(call).await;
             let now = self.clock.now();
-            if self.runs.borrow().fence() != Some(call.fence) {
+            if self.runs.borrow().fence() != call.fence {
                 continue;
             }
             match answer {
@@ -61,10 +61,7 @@
                 }
                 Err(ListFault::Fenced) => {
                     warn!(event = "fenced", fence = call.fence);
-                    if let Some(link) = self.connector.leader() {
-                        self.connector.give_up(&link);
-                    }
-                    self.pause(GONE_PAUSE).await;
+                    self.runs.borrow_mut().raise_fence();
                 }
             }
         }
@@ -77,7 +74,10 @@
         }
         let runs = self.runs.borrow();
         let now = self.clock.now();
-        let fence = runs.fence().filter(|_| runs.is_listed() && runs.may_act(now))?;
+        if !runs.may_renew(now) {
+            return None;
+        }
+        let fence = runs.fence();
         let wait = match (runs.has_unsettled_ends(), runs.is_stopping()) {
             (true, _) => DurationMs::new(0),
             (false, true) => STOPPING_WAIT,
@@ -98,19 +98,17 @@
     }
 
     fn take_listing(self: &Rc<Self>, now: Instant, asked_at: Instant, listing: &Listing) {
-        let (change, mut calls) = {
-            let mut runs = self.runs.borrow_mut();
-            let (change, calls) = runs.take_listing(now, asked_at, listing);
-            (change, calls)
-        };
-        calls.extend(self.runs.borrow_mut().take_stop_retries());
+        let (change, calls) = self
+            .runs
+            .borrow_mut()
+            .take_listing(now, asked_at, listing);
         self.tell_change(change);
         self.make_calls(calls);
         self.tell_outcomes();
     }
 
     fn lose_instance(self: &Rc<Self>, cause: &'static str) {
-        let change = self.runs.borrow_mut().instance_lost();
+        let change = self.runs.borrow_mut().instance_lost(self.clock.now());
         if change != InstanceChange::None {
             warn!(event = "instance-lost", cause);
         }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -1,72 +1,123 @@
-//! The process beside one instance: starts and stops its runs as the leader orders, renews their
-//! leases, and tells the leader of every end.
+//! The process beside one instance: starts and stops its runs as gateways and the leader order,
+//! renews their leases, and tells the owners of every end.
 
+mod gateways;
 mod listing;
 mod service;
 mod session;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 
 use hemlock_jobs::prelude::AgentId;
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tracing::info;
+use tracing::{debug, info};
 
 use crate::connector::{Connector, Seeds};
 use crate::message::{Reply, Report, Request};
 use crate::task_set::TaskSet;
+use gateways::Gateways;
 use service::RunnerService;
 
 /// Time that the leader may take to record ends: a sync that stalls, and an election.
 const REPORT_TIMEOUT: DurationMs = DurationMs::new(2_500);
+/// Time between two looks at what time alone brings about.
+const TICK_PERIOD: DurationMs = DurationMs::new(100);
 
 /// What a runner needs to know.
 pub struct RunnerSettings {
     /// How it introduces itself.
     pub identity: Identity,
+    /// Where it listens for gateways.
+    pub address: SocketAddr,
     /// Its agent id, the same over all restarts.
     pub agent: AgentId,
     /// Where keepers may be, as the settings say now.
     pub seeds: Seeds,
     /// Times of its runs.
     pub runs: RunsSettings,
+    /// A number higher than that of any earlier process beside the instance.
+    pub fence: u64,
 }
 
 /// Runs tasks at one instance.
 pub struct Runner {
     agent: AgentId,
+    address: SocketAddr,
+    identity: Rc<Identity>,
+    service: Rc<RunnerService>,
     connector: Connector,
     driver: Rc<dyn InstanceDriver>,
     runs: RefCell<Runs>,
+    gateways: Gateways,
+    /// Whether the leader knows what runs, so that it may be told what changes.
+    leader_adopted: Cell<bool>,
     clock: SystemClock,
     /// Rung when a listing is due before its time.
     listing_due: Notify,
+    /// Rung when gateways should hear what is left.
+    room_changed: Notify,
     tasks: TaskSet,
 }
 
 impl Runner {
     /// A runner that has not connected yet.
     pub fn new(settings: RunnerSettings, driver: Rc<dyn InstanceDriver>) -> Rc<Self> {
+        let identity = Rc::new(settings.identity);
         Rc::new_cyclic(|runner| {
-            let service: Rc<dyn Service> = Rc::new(RunnerService::new(runner.clone()));
+            let service = Rc::new(RunnerService::new(runner.clone()));
+            let as_service: Rc<dyn Service> = Rc::clone(&service) as Rc<dyn Service>;
             Self {
                 agent: settings.agent,
-                connector: Connector::new(settings.identity, service, settings.seeds),
+                address: settings.address,
+                identity: Rc::clone(&identity),
+                service,
+                connector: Connector::new(identity, as_service, settings.seeds),
                 driver,
-                runs: RefCell::new(Runs::new(settings.runs)),
+                runs: RefCell::new(Runs::new(settings.runs, settings.fence)),
+                gateways: Gateways::default(),
+                leader_adopted: Cell::new(false),
                 clock: SystemClock::start(),
                 listing_due: Notify::new(),
+                room_changed: Notify::new(),
                 tasks: TaskSet::default(),
             }
         })
     }
 
-    /// Keeps a session with whoever leads, and the runs alive. Never returns.
-    pub async fn run(self: &Rc<Self>) {
-        tokio::join!(self.keep_session(), self.keep_listing());
+    /// Serves gateways and the leader, and keeps the runs alive.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub async fn run(self: &Rc<Self>) -> Result<(), std::io::Error> {
+        let listener = StdListener::bind(self.address)?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let service: Rc<dyn Service> = Rc::clone(&self.service) as Rc<dyn Service>;
+        let identity = Rc::clone(&self.identity);
+        tokio::select! {
+            () = serve(listener, identity, service, std::future::pending()) => {}
+            () = self.keep_session() => {}
+            () = self.keep_listing() => {}
+            () = self.keep_ticking() => {}
+            () = self.keep_telling_room() => {}
+        }
+        Ok(())
+    }
+
+    async fn keep_ticking(self: &Rc<Self>) {
+        loop {
+            tokio::time::sleep(TICK_PERIOD.as_std()).await;
+            let calls = self.runs.borrow_mut().tick(self.clock.now());
+            self.make_calls(calls);
+            self.tell_outcomes();
+        }
     }
 
     /// Takes in what the instance says of itself.
@@ -90,55 +141,69 @@
         self.listing_due.notify_one();
     }
 
-    /// Tells the leader of a changed instance.
+    /// Tells all owners of a changed instance.
     fn tell_change(self: &Rc<Self>, change: InstanceChange) {
-        let runs = self.runs.borrow();
-        let (true, Some(session)) = (runs.is_adopted(), runs.session()) else {
-            return;
-        };
+        self.tell_outcomes();
         let runs_lost = match change {
             InstanceChange::None => return,
             InstanceChange::Updated => false,
             InstanceChange::RunsLost => true,
         };
-        let instance = runs.instance().cloned();
-        let request = Request::InstanceChanged(self.agent, session, instance, runs_lost);
-        self.tell(request, Vec::new());
+        let instance = self.runs.borrow().instance().cloned();
+        self.tell_gateways_of_instance(instance.as_ref(), runs_lost);
+        let session = self.runs.borrow().session(Owner::Leader);
+        if let Some(session) = session.filter(|_| self.leader_adopted.get()) {
+            let request = Request::InstanceChanged(self.agent, session, instance, runs_lost);
+            self.tell_leader(request, Vec::new());
+        }
     }
 
-    /// Tells the leader of ends and of starts that came to nothing.
+    /// Tells owners of ends and of starts that came to nothing.
     fn tell_outcomes(self: &Rc<Self>) {
-        let mut runs = self.runs.borrow_mut();
-        let (true, Some(session)) = (runs.is_adopted(), runs.session()) else {
-            return;
-        };
-        let outcomes = runs.take_outbox();
+        let outcomes = self.runs.borrow_mut().take_outbox();
         if outcomes.is_empty() {
             return;
         }
-        let mut report = Report::default();
-        let mut numbers = Vec::new();
-        for outcome in outcomes {
+        self.room_changed.notify_one();
+        let mut to_leader = (Report::default(), Vec::new());
+        let mut to_gateways = Vec::new();
+        for (owner, outcome) in outcomes {
             match outcome {
-                RunOutcome::Ended(ended, number) => {
-                    info!(event = "run-ended", task = %ended.task, run = ended.run.0,
-                          end = ended.end.map(tracing::field::display));
-                    report.ended.push(ended);
-                    numbers.extend(number);
+                RunOutcome::Ended(ended, _) => {
+                    debug!(event = "run-ended", task = %ended.task, run = ended.run.0,
+                           owner = ?owner, end = ended.end.map(tracing::field::display));
                 }
                 RunOutcome::Refused(refused) => {
                     info!(event = "start-failed", task = %refused.task, run = refused.run.0,
-                          reason = %refused.reason);
-                    report.refused.push(refused);
+                          owner = ?owner, reason = %refused.reason);
+                }
+            }
+            match (owner, outcome) {
+                (Owner::Leader, RunOutcome::Ended(ended, number)) => {
+                    to_leader.0.ended.push(ended);
+                    to_leader.1.extend(number);
                 }
+                (Owner::Leader, RunOutcome::Refused(refused)) => {
+                    to_leader.0.refused.push(refused);
+                }
+                (Owner::Gateway(gateway), outcome) => to_gateways.push((gateway, outcome)),
+            }
+        }
+        self.tell_gateways_of(to_gateways);
+        let (report, numbers) = to_leader;
+        let session = self.runs.borrow().session(Owner::Leader);
+        match session {
+            // Otherwise the next session's inventory tells of it.
+            Some(session) if self.leader_adopted.get() && report != Report::default() => {
+                let request = Request::Report(self.agent, session, report);
+                self.tell_leader(request, numbers);
             }
+            Some(_) | None => {}
         }
-        let request = Request::Report(self.agent, session, report);
-        self.tell(request, numbers);
     }
 
     /// Sends a request to the leader; once it is done, the given ends are settled.
-    fn tell(self: &Rc<Self>, request: Request, numbers: Vec<u64>) {
+    fn tell_leader(self: &Rc<Self>, request: Request, numbers: Vec<u64>) {
         let runner = Rc::clone(self);
         self.tasks.spawn(async move {
             let Some(link) = runner.connector.leader() else {
@@ -169,8 +234,8 @@
         match call {
             DriverCall::Start(call) => {
                 let result = self.driver.start(call.clone()).await;
-                info!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
-                      result = ?result);
+                debug!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
+                       result = ?result);
                 let now = self.clock.now();
                 let follow_up = self.runs.borrow_mut().start_answered(now, &call, result);
                 self.tell_outcomes();
@@ -178,8 +243,8 @@
             }
             DriverCall::Stop(call) => {
                 let result = self.driver.stop(call).await;
-                info!(event = "stop", task = %call.task, run = call.run.0, fence = call.fence,
-                      result = ?result);
+                debug!(event = "stop", task = %call.task, run = call.run.0, fence = call.fence,
+                       result = ?result);
                 let now = self.clock.now();
                 self.runs.borrow_mut().stop_answered(now, &call, result);
                 self.listing_due.notify_one();
--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -1,17 +1,18 @@
-//! Takes the leader's orders.
+//! Takes owners' requests.
 
-use std::rc::Weak;
+use std::rc::{Rc, Weak};
 
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use hemlock_runs::prelude::Owner;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
 
 use super::Runner;
 use crate::message::{RunnerReply, RunnerRequest};
 
-/// Serves the connection to the leader.
+/// Serves the connections to the leader and from gateways.
 pub(super) struct RunnerService {
     runner: Weak<Runner>,
 }
@@ -21,16 +22,15 @@
         Self { runner }
     }
 
-    fn take_order(&self, peer: Peer, frame: &Bytes) -> Result<Bytes, ServiceError> {
-        if peer.role != Role::Keeper {
-            return Err(ServiceError::Forbidden);
-        }
-        let RunnerRequest(order) = decode(frame)?;
+    fn take(&self, peer: Peer, frame: &Bytes) -> Result<Bytes, ServiceError> {
+        let owner = match peer.role {
+            Role::Keeper => Owner::Leader,
+            Role::Entry => Owner::Gateway(peer.incarnation),
+            Role::Agent => return Err(ServiceError::Forbidden),
+        };
+        let request: RunnerRequest = decode(frame)?;
         let runner = self.runner.upgrade().ok_or(ServiceError::Closing)?;
-        let now = runner.clock.now();
-        let (calls, refused) = runner.runs.borrow_mut().take_order(now, order);
-        runner.make_calls(calls);
-        Ok(encode(&RunnerReply(refused))?)
+        Ok(encode(&runner.take_request(owner, peer, request))?)
     }
 }
 
@@ -40,6 +40,55 @@
         peer: Peer,
         frame: Bytes,
     ) -> LocalBoxFuture<'static, Result<Bytes, ServiceError>> {
-        std::future::ready(self.take_order(peer, &frame)).boxed_local()
+        std::future::ready(self.take(peer, &frame)).boxed_local()
+    }
+
+    fn opened(&self, peer: Peer, back: Link) {
+        if let Some(runner) = self.runner.upgrade().filter(|_| peer.role == Role::Entry) {
+            runner.gateways.opened(peer, back);
+        }
+    }
+
+    fn closed(&self, peer: Peer) {
+        if let Some(runner) = self.runner.upgrade().filter(|_| peer.role == Role::Entry) {
+            runner.gateway_closed(peer);
+        }
+    }
+}
+
+impl Runner {
+    fn take_request(
+        self: &Rc<Self>,
+        owner: Owner,
+        peer: Peer,
+        request: RunnerRequest,
+    ) -> RunnerReply {
+        let now = self.clock.now();
+        match (request, owner) {
+            (RunnerRequest::Order(order), _) => {
+                let (calls, refused) = self.runs.borrow_mut().take_order(now, owner, order);
+                self.make_calls(calls);
+                self.tell_outcomes();
+                self.room_changed.notify_one();
+                RunnerReply::Ordered(refused, self.runs.borrow().room(owner))
+            }
+            (RunnerRequest::Attach(session, claims), Owner::Gateway(gateway)) => {
+                self.gateways.attached(gateway, peer.connection, session);
+                let mut runs = self.runs.borrow_mut();
+                let inventory = runs.attach(now, owner, session, &claims);
+                RunnerReply::Attached(inventory, runs.room(owner))
+            }
+            (RunnerRequest::Ping(session), Owner::Gateway(_)) => {
+                let mut runs = self.runs.borrow_mut();
+                match runs.owner_heard(owner, session, now) {
+                    true => RunnerReply::Alive(runs.room(owner)),
+                    false => RunnerReply::VoidSession,
+                }
+            }
+            // The leader's sessions begin over the runner's own connection.
+            (RunnerRequest::Attach(..) | RunnerRequest::Ping(_), Owner::Leader) => {
+                RunnerReply::VoidSession
+            }
+        }
     }
 }
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::{Inventory, SessionId};
+use hemlock_dispatch::prelude::SessionId;
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -17,9 +17,7 @@
 const PING_TIMEOUT: DurationMs = DurationMs::new(800);
 /// Time that the leader may take to begin a session: two commits.
 const REGISTER_TIMEOUT: DurationMs = DurationMs::new(1_500);
-/// Time that the instance may take for the first listing of a session.
-const FIRST_LISTING_TIMEOUT: DurationMs = DurationMs::new(300);
-/// Pause after a listing without an answer.
+/// Pause between two looks whether the instance has listed its runs.
 const LISTING_PAUSE: DurationMs = DurationMs::new(30);
 
 impl Runner {
@@ -36,7 +34,7 @@
                 cause = self.hold_session(&link) => cause,
             };
             self.connector.give_up(&link);
-            self.runs.borrow_mut().end_session();
+            self.leader_adopted.set(false);
             info!(event = "leader-lost", leader, cause);
         }
     }
@@ -49,72 +47,44 @@
     }
 
     async fn open_session(self: &Rc<Self>, link: &Link) -> Option<SessionId> {
-        let asked_at = self.clock.now();
         let register = Request::Register(self.agent);
         let answer = link.call::<_, Reply>(&register);
         let answer = tokio::time::timeout(REGISTER_TIMEOUT.as_std(), answer).await;
-        let Ok(Ok(Reply::Registered { session, fence })) = answer else {
+        let Ok(Ok(Reply::Registered(session))) = answer else {
             return None;
         };
-        self.runs
-            .borrow_mut()
-            .begin_session(session, fence, asked_at);
-        let (inventory, listing) = self.take_inventory(fence).await?;
-        let runs = inventory.runs.len();
+        self.until_runs_known().await;
         let asked_at = self.clock.now();
-        let adopt = Request::Adopt(self.agent, session, inventory);
+        let inventory = self.runs.borrow_mut().leader_inventory(asked_at, session);
+        let runs = inventory.runs.len();
+        let adopt = Request::Adopt(self.agent, session, inventory.clone());
         let answer = link.call::<_, Reply>(&adopt);
         let answer = tokio::time::timeout(REGISTER_TIMEOUT.as_std(), answer).await;
         let Ok(Ok(Reply::Adopted(stops))) = answer else {
             return None;
         };
-        info!(event = "session", session = session.0, fence, runs, unwanted = stops.len());
-        let calls = {
-            let mut table = self.runs.borrow_mut();
-            table.extend_authority(asked_at);
-            table.adopted(session, listing.as_ref());
-            table.stop_all(&stops)
-        };
+        info!(event = "session", session = session.0, runs, unwanted = stops.len());
+        let now = self.clock.now();
+        let calls = self.runs.borrow_mut().leader_adopted(now, &inventory, &stops);
         self.make_calls(calls);
-        self.tell_change(InstanceChange::Updated);
+        self.leader_adopted.set(true);
+        let same = self.runs.borrow().instance() == inventory.instance.as_ref();
+        if !same {
+            self.tell_change(InstanceChange::Updated);
+        }
         self.tell_outcomes();
         self.listing_due.notify_one();
         Some(session)
     }
 
-    /// Lists what runs under the new session's fencing number, which ends all earlier orders.
-    async fn take_inventory(self: &Rc<Self>, fence: u64) -> Option<(Inventory, Option<Listing>)> {
+    /// Waits until the instance has listed its runs, or none that an earlier process started can be
+    /// alive.
+    async fn until_runs_known(&self) {
         let begun = self.clock.now();
-        loop {
-            let (lease_until_ms, settled, patience) = {
-                let runs = self.runs.borrow();
-                let lease = runs.lease_until_ms(self.clock.now());
-                (lease, runs.settled(), runs.longest_lease())
-            };
-            let call = ListCall {
-                fence,
-                lease_until_ms,
-                settled,
-                wait_ms: 0,
-                timeout_ms: FIRST_LISTING_TIMEOUT.as_ms(),
-            };
-            let answer = self.driver.list(call).await;
-            let now = self.clock.now();
-            match answer {
-                Ok(listing) => {
-                    let inventory = self.runs.borrow_mut().take_inventory(now, &listing);
-                    return Some((inventory, Some(listing)));
-                }
-                Err(ListFault::Fenced) => return None,
-                Err(ListFault::Gone) => break,
-                Err(ListFault::OtherInstance) => self.driver.set_target(None),
-                // After that time no lease that was given before can hold.
-                Err(ListFault::Unanswered) if now > begun + patience => break,
-                Err(ListFault::Unanswered) => tokio::time::sleep(LISTING_PAUSE.as_std()).await,
-            }
+        let longest = self.runs.borrow().longest_lease();
+        while !self.runs.borrow().is_reachable() && self.clock.now() < begun + longest {
+            tokio::time::sleep(LISTING_PAUSE.as_std()).await;
         }
-        let inventory = self.runs.borrow_mut().take_empty_inventory();
-        Some((inventory, None))
     }
 
     /// Pings until an answer is missing or says that the session is void.
@@ -125,7 +95,12 @@
             let ping = Request::Ping(Some((self.agent, session)));
             let answer = link.call::<_, Reply>(&ping);
             match tokio::time::timeout(PING_TIMEOUT.as_std(), answer).await {
-                Ok(Ok(Reply::Done)) => self.runs.borrow_mut().extend_authority(asked_at),
+                Ok(Ok(Reply::Done)) => {
+                    let mut runs = self.runs.borrow_mut();
+                    if !runs.owner_heard(Owner::Leader, session, asked_at) {
+                        return "expired";
+                    }
+                }
                 Ok(Ok(Reply::VoidSession)) => return "void",
                 Ok(Ok(_)) => return "not-leading",
                 Ok(Err(_)) => return "failed",
--- a/crates/hemlock_runs/src/entry.rs
+++ b/crates/hemlock_runs/src/entry.rs
@@ -1,7 +1,19 @@
 //! One run in the agent's table.
 
-use hemlock_jobs::prelude::{Resources, RunNumber};
+use hemlock_dispatch::prelude::{StartOrder, Urgency};
+use hemlock_jobs::prelude::{Resources, RunNumber, TaskKey};
+use hemlock_types::ids::Incarnation;
 use hemlock_types::time::Instant;
+use serde::{Deserialize, Serialize};
+
+/// Who ordered a run and is told of its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Owner {
+    /// The leading coordinator, for jobs that are kept.
+    Leader,
+    /// A gateway in one life of its process, for best-effort jobs.
+    Gateway(Incarnation),
+}
 
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,13 +28,28 @@
         began: bool,
         /// When the instance accepted the stop.
         accepted: Option<Instant>,
+        /// When the stop was decided.
+        since: Instant,
     },
 }
 
 /// One run. It takes room until the instance is known not to run it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Entry {
+    /// Unknown for runs that an earlier process of this agent started, until they are claimed.
+    pub(crate) owner: Option<Owner>,
     pub(crate) run: RunNumber,
-    pub(crate) needs: Resources,
+    /// Unknown like the owner.
+    pub(crate) needs: Option<Resources>,
     pub(crate) phase: Phase,
 }
+
+/// A start that waits for room.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedStart {
+    pub(crate) owner: Owner,
+    pub(crate) order: StartOrder,
+}
+
+/// Place of a start in the queue; the least goes first.
+pub(crate) type QueuePlace = (Urgency, TaskKey);
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -9,8 +9,8 @@
 //! use hemlock_runs::prelude::*;
 //! use hemlock_types::prelude::*;
 //!
-//! let runs = Runs::new(RunsSettings::default());
-//! assert!(!runs.may_act(Instant::ZERO));
+//! let runs = Runs::new(RunsSettings::default(), 1);
+//! assert!(runs.may_renew(Instant::ZERO));
 //! ```
 
 pub mod driver;
@@ -23,7 +23,8 @@
         InstanceDriver, ListCall, ListFault, ListedEnd, ListedRun, Listing, StartCall, StartResult,
         StopCall, StopResult,
     };
+    pub use crate::entry::Owner;
     pub use crate::runs::{
-        Beat, DriverCall, InstanceChange, RunOutcome, RefusedStart, Runs, RunsSettings,
+        Beat, Claim, DriverCall, InstanceChange, RunOutcome, RefusedStart, Runs, RunsSettings,
     };
 }
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -2,38 +2,57 @@
 
 mod listing;
 mod orders;
+mod owners;
+mod queue;
 
-use std::collections::{BTreeMap, BTreeSet};
+pub use owners::Claim;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use hemlock_dispatch::prelude::{
-    InstanceReport, Inventory, RefusalReason, RunReport, SessionId,
+    InstanceId, InstanceReport, RefusalReason, Room, RunReport, SessionId,
 };
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
-use crate::driver::{Listing, StartCall, StopCall};
-use crate::entry::{Entry, Phase};
+use crate::driver::{StartCall, StopCall};
+use crate::entry::{Entry, Owner, Phase, QueuePlace, QueuedStart};
 
 /// Per mille of true time that an instance's clock may lose.
 const SLOW_CLOCK_PER_MILLE: u64 = 20;
+/// How far a fencing number is raised when a higher one has been seen.
+const FENCE_STEP: u64 = 60_000;
 
 /// Times of an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunsSettings {
-    /// How long the agent may act on a confirmation, counted from its request, in milliseconds.
-    pub authority_ms: u64,
+    /// How long the leader's runs go on after it last confirmed its leadership, counted from the
+    /// request, in milliseconds.
+    pub leader_authority_ms: u64,
+    /// How long a gateway's runs go on after it was last heard, in milliseconds.
+    pub gateway_silence_ms: u64,
+    /// How long an owner whose connection has closed may take to return, in milliseconds.
+    pub return_ms: u64,
     /// Longest lease on the instance's clock, in milliseconds.
     pub lease_ms: u64,
     /// Longest time that an accepted stop takes, in milliseconds.
     pub stop_ms: u64,
+    /// Time after which a stop without effect ends the renewal of all leases, in milliseconds.
+    pub stop_patience_ms: u64,
+    /// How long the end of a run is remembered for an owner that returns, in milliseconds.
+    pub remember_ends_ms: u64,
 }
 
 impl Default for RunsSettings {
     fn default() -> Self {
         Self {
-            authority_ms: 2_000,
+            leader_authority_ms: 2_000,
+            gateway_silence_ms: 750,
+            return_ms: 250,
             lease_ms: 1_000,
             stop_ms: 50,
+            stop_patience_ms: 400,
+            remember_ends_ms: 3_000,
         }
     }
 }
@@ -49,7 +68,7 @@
     pub sequence: u64,
 }
 
-/// What a beat or a listing changed for the leader.
+/// What a beat or a listing changed for the owners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum InstanceChange {
     /// Nothing.
@@ -80,7 +99,7 @@
     pub reason: RefusalReason,
 }
 
-/// Something that the leader must be told.
+/// Something that an owner must be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
     /// A run has ended, under this number among the instance's ends, if it was listed.
@@ -89,14 +108,25 @@
     Refused(RefusedStart),
 }
 
+/// An owner as the agent sees it.
 #[derive(Clone, Copy, Debug)]
-struct Session {
-    id: SessionId,
-    fence: u64,
-    /// Whether the table was built from what the instance listed in this session.
-    listed: bool,
-    /// Whether the leader knows what runs.
-    adopted: bool,
+pub(crate) struct OwnerState {
+    /// Its session; orders of any other are refused.
+    pub(crate) session: SessionId,
+    /// When it was last heard.
+    pub(crate) heard: Instant,
+    /// When its connection closed, while it has none.
+    pub(crate) closed: Option<Instant>,
+    /// The last of its orders that was taken.
+    pub(crate) last_order: u64,
+}
+
+/// An end among those that the instance numbers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NumberedEnd {
+    pub(crate) report: RunReport,
+    pub(crate) owner: Option<Owner>,
+    pub(crate) settled: bool,
 }
 
 /// A reading of the instance's clock.
@@ -110,32 +140,37 @@
 #[derive(Debug)]
 pub struct Runs {
     settings: RunsSettings,
-    session: Option<Session>,
-    authority_until: Instant,
+    fence: u64,
+    owners: HashMap<Owner, OwnerState>,
     instance: Option<InstanceReport>,
     beat_sequence: u64,
     /// When the instance that is listened to was started.
     life: Option<u64>,
-    /// Whether the instance answers.
+    /// Whether the instance answers, and its runs are known.
     reachable: bool,
     clock: Option<ClockReading>,
     table: BTreeMap<TaskKey, Entry>,
     used: Resources,
-    /// Numbers of ends that were reported, and whether they are settled.
-    ends: BTreeMap<u64, bool>,
+    queue: BTreeSet<QueuePlace>,
+    queued: HashMap<TaskKey, QueuedStart>,
+    queued_needs: Resources,
+    ends: BTreeMap<u64, NumberedEnd>,
     settled: u64,
-    /// What the leader must be told.
-    outbox: Vec<RunOutcome>,
+    recent_ends: VecDeque<(Instant, RunReport)>,
+    outbox: Vec<(Owner, RunOutcome)>,
     stop_retries: BTreeSet<TaskKey>,
+    /// When runs without a known owner were found.
+    unclaimed_since: Option<Instant>,
 }
 
 impl Runs {
-    /// No instance, no session, no runs.
-    pub fn new(settings: RunsSettings) -> Self {
+    /// No instance, no owners, no runs. `fence` must be higher than that of any earlier process
+    /// beside the instance.
+    pub fn new(settings: RunsSettings, fence: u64) -> Self {
         Self {
             settings,
-            session: None,
-            authority_until: Instant::ZERO,
+            fence,
+            owners: HashMap::new(),
             instance: None,
             beat_sequence: 0,
             life: None,
@@ -143,62 +178,26 @@
             clock: None,
             table: BTreeMap::new(),
             used: Resources::default(),
+            queue: BTreeSet::new(),
+            queued: HashMap::new(),
+            queued_needs: Resources::default(),
             ends: BTreeMap::new(),
             settled: 0,
+            recent_ends: VecDeque::new(),
             outbox: Vec::new(),
             stop_retries: BTreeSet::new(),
+            unclaimed_since: None,
         }
     }
 
-    /// Begins a session. Nothing is started before [`adopted`](Self::adopted).
-    pub fn begin_session(&mut self, id: SessionId, fence: u64, asked_at: Instant) {
-        self.session = Some(Session {
-            id,
-            fence,
-            listed: false,
-            adopted: false,
-        });
-        self.outbox.clear();
-        self.extend_authority(asked_at);
-    }
-
-    /// Notes that the leader confirmed a request that was sent at `asked_at`.
-    pub fn extend_authority(&mut self, asked_at: Instant) {
-        let until = asked_at + DurationMs::new(self.settings.authority_ms);
-        self.authority_until = self.authority_until.max(until);
-    }
-
-    /// Notes that the leader can't be told anything. Leases are renewed until the authority runs
-    /// out.
-    pub fn end_session(&mut self) {
-        if let Some(session) = self.session.as_mut() {
-            session.adopted = false;
-        }
-    }
-
-    /// Whether the leader knows what runs, so that it may be told what changes.
-    pub fn is_adopted(&self) -> bool {
-        self.session.is_some_and(|session| session.adopted)
-    }
-
-    /// Whether the table was built in this session, so that listings may change it.
-    pub fn is_listed(&self) -> bool {
-        self.session.is_some_and(|session| session.listed)
+    /// The fencing number of all calls to the instance.
+    pub fn fence(&self) -> u64 {
+        self.fence
     }
 
-    /// Whether the agent may start runs and renew leases now.
-    pub fn may_act(&self, now: Instant) -> bool {
-        self.session.is_some() && now < self.authority_until
-    }
-
-    /// The session's fencing number.
-    pub fn fence(&self) -> Option<u64> {
-        self.session.map(|session| session.fence)
-    }
-
-    /// The session.
-    pub fn session(&self) -> Option<SessionId> {
-        self.session.map(|session| session.id)
+    /// Raises the fencing number, because the instance has seen a higher one.
+    pub fn raise_fence(&mut self) {
+        self.fence += FENCE_STEP;
     }
 
     /// The instance, while it answers.
@@ -206,19 +205,19 @@
         self.instance.as_ref().filter(|_| self.reachable)
     }
 
-    /// Whether the instance has ever been heard, or may be there.
-    pub fn knows_instance(&self) -> bool {
-        self.instance.is_some()
+    /// Whether the instance answers, and its runs are known.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
     }
 
     /// Runs that take room.
-    pub fn len(&self) -> usize {
+    pub fn running(&self) -> usize {
         self.table.len()
     }
 
-    /// Whether nothing takes room.
-    pub fn is_empty(&self) -> bool {
-        self.table.is_empty()
+    /// Starts that wait for room.
+    pub fn waiting(&self) -> usize {
+        self.queued.len()
     }
 
     /// The number up to which all ends are settled.
@@ -226,9 +225,9 @@
         self.settled
     }
 
-    /// Whether an end was reported and isn't settled, so that the instance would repeat it at once.
+    /// Whether an end waits to be settled, so that the instance would repeat it at once.
     pub fn has_unsettled_ends(&self) -> bool {
-        self.ends.values().any(|settled| !settled)
+        !self.ends.is_empty()
     }
 
     /// Whether a stop waits for its effect.
@@ -237,6 +236,21 @@
         self.table.values().any(stopping)
     }
 
+    /// Whether leases may be renewed. A stop that has no effect can only be enforced by letting the
+    /// leases run out.
+    pub fn may_renew(&self, now: Instant) -> bool {
+        let patience = DurationMs::new(self.settings.stop_patience_ms);
+        let stuck = |entry: &Entry| match entry.phase {
+            Phase::Stopping {
+                since,
+                accepted: None,
+                ..
+            } => now > since + patience,
+            _ => false,
+        };
+        !self.table.values().any(stuck)
+    }
+
     /// The end of a lease taken now, on the instance's clock.
     pub fn lease_until_ms(&self, now: Instant) -> Option<u64> {
         let reading = self.clock?;
@@ -249,86 +263,32 @@
         DurationMs::new(self.settings.lease_ms * 1_000 / (1_000 - SLOW_CLOCK_PER_MILLE))
     }
 
-    /// Takes what the leader must be told.
-    pub fn take_outbox(&mut self) -> Vec<RunOutcome> {
+    /// Takes what owners must be told.
+    pub fn take_outbox(&mut self) -> Vec<(Owner, RunOutcome)> {
         std::mem::take(&mut self.outbox)
     }
 
-    /// Builds the table from a listing that was asked for under the new session's fencing number:
-    /// whatever was ordered before and isn't listed is over.
-    pub fn take_inventory(&mut self, now: Instant, listing: &Listing) -> Inventory {
-        self.note_life(listing.born_ms);
-        self.note_clock(now, listing.clock_ms);
-        self.reachable = true;
-        self.note_listed();
-        let earlier = std::mem::take(&mut self.table);
-        self.used = Resources::default();
-        self.stop_retries.clear();
-        self.outbox.clear();
-        for listed in &listing.running {
-            let known = earlier.get(&listed.task);
-            let known = known.filter(|entry| entry.run == listed.run);
-            let entry = Entry {
-                run: listed.run,
-                needs: known.map(|entry| entry.needs).unwrap_or_default(),
-                phase: Phase::Running(now),
-            };
-            self.insert(listed.task, entry);
-        }
-        let ended = listing.ended.iter();
-        let unsettled = ended.filter(|ended| ended.number > self.settled);
-        self.ends = unsettled.clone().map(|end| (end.number, false)).collect();
-        let ended = unsettled.map(|ended| RunReport {
-            task: ended.task,
-            run: ended.run,
-            end: Some(ended.end),
-        });
-        let running = listing.running.iter().map(|listed| RunReport {
-            task: listed.task,
-            run: listed.run,
-            end: None,
-        });
-        Inventory {
-            instance: self.instance().cloned(),
-            runs: running.chain(ended).collect(),
-        }
-    }
-
-    /// What is told of an instance that isn't there.
-    pub fn take_empty_inventory(&mut self) -> Inventory {
-        self.forget_runs();
-        self.reachable = false;
-        self.note_listed();
-        Inventory::default()
-    }
-
-    fn note_listed(&mut self) {
-        if let Some(session) = self.session.as_mut() {
-            session.listed = true;
-        }
-    }
-
-    /// Notes that the leader knows what runs, as told by the inventory of this listing.
-    pub fn adopted(&mut self, id: SessionId, listing: Option<&Listing>) {
-        let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
-            return;
+    /// What an owner needs to know to order more.
+    pub fn room(&self, owner: Owner) -> Room {
+        let free = match (self.instance(), self.has_unclaimed()) {
+            (Some(instance), false) => instance
+                .capacity
+                .minus(&self.used)
+                .minus(&self.queued_needs),
+            _ => Resources::default(),
         };
-        session.adopted = true;
-        let ended = listing.into_iter().flat_map(|listing| &listing.ended);
-        self.settle(ended.map(|ended| ended.number));
+        let state = self.owners.get(&owner);
+        Room {
+            free,
+            waiting: u32::try_from(self.queued.len()).unwrap_or(u32::MAX),
+            owners: u32::try_from(self.owners.len()).unwrap_or(u32::MAX),
+            last_order: state.map_or(0, |state| state.last_order),
+        }
     }
 
-    /// Notes that ends are recorded, or need not be.
-    pub fn settle(&mut self, numbers: impl IntoIterator<Item = u64>) {
-        for number in numbers {
-            if let Some(settled) = self.ends.get_mut(&number) {
-                *settled = true;
-            }
-        }
-        while let Some((number, true)) = self.ends.first_key_value().map(|(n, s)| (*n, *s)) {
-            self.ends.pop_first();
-            self.settled = self.settled.max(number);
-        }
+    /// Whether something runs whose needs aren't known.
+    fn has_unclaimed(&self) -> bool {
+        self.table.values().any(|entry| entry.needs.is_none())
     }
 
     /// Takes in what the instance says of itself.
@@ -342,7 +302,7 @@
             _ => {}
         }
         self.beat_sequence = beat.sequence;
-        let runs_lost = self.note_life(born_ms);
+        let runs_lost = self.note_life(now, born_ms);
         if runs_lost || !same_life {
             self.clock = None;
         }
@@ -351,7 +311,11 @@
             self.note_clock(now, beat.clock_ms);
         }
         let changed = self.instance.as_ref() != Some(&beat.instance);
+        let draining = beat.instance.draining;
         self.instance = Some(beat.instance);
+        if draining {
+            self.refuse_queue(RefusalReason::NoInstance);
+        }
         match (runs_lost, changed) {
             (true, _) => InstanceChange::RunsLost,
             (false, true) => InstanceChange::Updated,
@@ -360,10 +324,10 @@
     }
 
     /// Notes that the instance is gone, or has been silent for longer than any lease lasts.
-    pub fn instance_lost(&mut self) -> InstanceChange {
+    pub fn instance_lost(&mut self, now: Instant) -> InstanceChange {
         let was_there = self.reachable || !self.table.is_empty();
         self.reachable = false;
-        self.forget_runs();
+        self.forget_runs(now);
         match was_there {
             true => InstanceChange::RunsLost,
             false => InstanceChange::None,
@@ -375,14 +339,23 @@
         match &mut self.instance {
             Some(instance) if instance.id.name == name && !instance.draining => {
                 instance.draining = true;
+                self.refuse_queue(RefusalReason::NoInstance);
                 InstanceChange::Updated
             }
             _ => InstanceChange::None,
         }
     }
 
+    /// Whether orders for this life of the instance can be carried out.
+    fn takes_starts_for(&self, meant: &Option<InstanceId>) -> bool {
+        match (self.instance(), meant) {
+            (Some(instance), Some(meant)) => instance.id == *meant && !instance.draining,
+            (None, _) | (_, None) => false,
+        }
+    }
+
     /// Notes which life of the instance speaks; true when it is another than before.
-    fn note_life(&mut self, born_ms: u64) -> bool {
+    fn note_life(&mut self, now: Instant, born_ms: u64) -> bool {
         let another = self.life.is_some_and(|life| life != born_ms);
         if self.life != Some(born_ms) {
             self.life = Some(born_ms);
@@ -391,7 +364,8 @@
             self.beat_sequence = 0;
         }
         if another {
-            self.forget_runs();
+            self.forget_runs(now);
+            self.reachable = false;
             self.clock = None;
         }
         another
@@ -401,24 +375,59 @@
         self.clock = Some(ClockReading { clock_ms, at });
     }
 
-    fn forget_runs(&mut self) {
-        self.table.clear();
+    /// Notes that nothing runs any more.
+    fn forget_runs(&mut self, now: Instant) {
+        let table = std::mem::take(&mut self.table);
         self.used = Resources::default();
         self.stop_retries.clear();
-        self.outbox.clear();
+        self.unclaimed_since = None;
+        for (task, entry) in table {
+            let end = Some(hemlock_dispatch::prelude::RunEnd::Lapsed);
+            let run = entry.run;
+            self.note_over(now, entry.owner, RunReport { task, run, end }, None);
+        }
+        self.refuse_queue(RefusalReason::NoInstance);
+    }
+
+    /// Remembers an end and tells the owner of it.
+    fn note_over(
+        &mut self,
+        now: Instant,
+        owner: Option<Owner>,
+        report: RunReport,
+        number: Option<u64>,
+    ) {
+        let kept = DurationMs::new(self.settings.remember_ends_ms);
+        while self.recent_ends.front().is_some_and(|(at, _)| now > *at + kept) {
+            self.recent_ends.pop_front();
+        }
+        self.recent_ends.push_back((now, report));
+        if let Some(owner) = owner {
+            self.outbox.push((owner, RunOutcome::Ended(report, number)));
+        }
     }
 
     fn insert(&mut self, task: TaskKey, entry: Entry) {
-        if let Some(earlier) = self.table.insert(task, entry) {
-            self.used.take(&earlier.needs);
+        if let Some(needs) = self.table.insert(task, entry).and_then(|e| e.needs) {
+            self.used.take(&needs);
+        }
+        if let Some(needs) = entry.needs {
+            self.used.add(&needs);
         }
-        self.used.add(&entry.needs);
     }
 
     fn remove(&mut self, task: TaskKey) -> Option<Entry> {
         let entry = self.table.remove(&task)?;
         self.stop_retries.remove(&task);
-        self.used.take(&entry.needs);
+        if let Some(needs) = entry.needs {
+            self.used.take(&needs);
+        }
         Some(entry)
     }
+
+    fn set_phase(&mut self, task: TaskKey, phase: Phase) {
+        if let Some(entry) = self.table.get_mut(&task) {
+            entry.phase = phase;
+        }
+    }
 }
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -6,45 +6,54 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
-use super::{DriverCall, InstanceChange, RunOutcome, RefusedStart, Runs};
-use crate::driver::{Listing, StopCall};
-use crate::entry::{Entry, Phase};
+use super::orders::unclaimed;
+use super::{DriverCall, InstanceChange, NumberedEnd, RefusedStart, RunOutcome, Runs};
+use crate::driver::Listing;
+use crate::entry::{Entry, Owner, Phase};
 
 /// Added to the time that a stop takes, for timers that fire late, in milliseconds.
 const STOP_MARGIN_MS: u64 = 10;
 
 impl Runs {
-    /// Takes a listing that was asked for at `asked_at` under the present session.
+    /// Takes a listing that was asked for at `asked_at`. The first one of an instance's life shows
+    /// what an earlier process left.
     pub fn take_listing(
         &mut self,
         now: Instant,
         asked_at: Instant,
         listing: &Listing,
     ) -> (InstanceChange, Vec<DriverCall>) {
-        if self.note_life(listing.born_ms) {
-            self.reachable = false;
-            return (InstanceChange::RunsLost, Vec::new());
-        }
+        let lost = self.note_life(now, listing.born_ms);
         self.note_clock(now, listing.clock_ms);
-        let change = match self.reachable {
-            true => InstanceChange::None,
-            false => InstanceChange::Updated,
-        };
+        let first = !self.reachable;
         self.reachable = true;
-        self.note_ends(listing);
-        let stops = self.stop_strangers(listing);
-        self.note_vanished(asked_at, listing);
-        (change, stops)
+        self.note_ends(now, listing);
+        let mut calls = match first {
+            true => {
+                self.take_over(now, listing);
+                Vec::new()
+            }
+            false => self.stop_strangers(now, listing),
+        };
+        self.note_vanished(now, asked_at, listing);
+        calls.extend(self.start_queued(now));
+        let change = match (lost, first) {
+            (true, _) => InstanceChange::RunsLost,
+            (false, true) => InstanceChange::Updated,
+            (false, false) => InstanceChange::None,
+        };
+        (change, calls)
     }
 
-    fn note_ends(&mut self, listing: &Listing) {
+    fn note_ends(&mut self, now: Instant, listing: &Listing) {
         for ended in &listing.ended {
             if ended.number <= self.settled || self.ends.contains_key(&ended.number) {
                 continue;
             }
-            self.ends.insert(ended.number, false);
-            let known = self.table.get(&ended.task);
-            if known.is_some_and(|entry| entry.run == ended.run) {
+            let known = self.table.get(&ended.task).copied();
+            let known = known.filter(|entry| entry.run == ended.run);
+            let owner = known.and_then(|entry| entry.owner);
+            if known.is_some() {
                 self.remove(ended.task);
             }
             let report = RunReport {
@@ -52,34 +61,43 @@
                 run: ended.run,
                 end: Some(ended.end),
             };
-            self.outbox.push(RunOutcome::Ended(report, Some(ended.number)));
+            // A gateway's job may run again, so its ends need no record.
+            let settled = matches!(owner, Some(Owner::Gateway(_)));
+            let numbered = NumberedEnd {
+                report,
+                owner,
+                settled,
+            };
+            self.ends.insert(ended.number, numbered);
+            self.note_over(now, owner, report, Some(ended.number));
+        }
+        self.advance_settled();
+    }
+
+    /// Takes over what runs at an instance that was not listened to before.
+    fn take_over(&mut self, now: Instant, listing: &Listing) {
+        for listed in &listing.running {
+            if !self.table.contains_key(&listed.task) {
+                self.insert(listed.task, unclaimed(listed.run, Phase::Running(now)));
+                self.unclaimed_since.get_or_insert(now);
+            }
         }
     }
 
     /// Stops what runs without being wanted: a start that was carried out late.
-    fn stop_strangers(&mut self, listing: &Listing) -> Vec<DriverCall> {
-        let Some(fence) = self.fence() else {
-            return Vec::new();
-        };
-        let mut stops = Vec::new();
+    fn stop_strangers(&mut self, now: Instant, listing: &Listing) -> Vec<DriverCall> {
+        let mut calls = Vec::new();
         for listed in &listing.running {
-            let (task, run) = (listed.task, listed.run);
-            if self.table.contains_key(&task) {
-                continue;
+            if !self.table.contains_key(&listed.task) {
+                self.insert(listed.task, unclaimed(listed.run, Phase::Running(now)));
+                calls.extend(self.begin_stop(now, listed.task));
             }
-            let phase = Phase::Stopping {
-                began: true,
-                accepted: None,
-            };
-            let needs = Resources::default();
-            self.insert(task, Entry { run, needs, phase });
-            stops.push(DriverCall::Stop(StopCall { task, run, fence }));
         }
-        stops
+        calls
     }
 
     /// Notes runs that the instance should list and doesn't.
-    fn note_vanished(&mut self, asked_at: Instant, listing: &Listing) {
+    fn note_vanished(&mut self, now: Instant, asked_at: Instant, listing: &Listing) {
         let listed: BTreeSet<(TaskKey, RunNumber)> = listing
             .running
             .iter()
@@ -103,19 +121,24 @@
         for (task, entry) in vanished {
             self.remove(task);
             let run = entry.run;
-            let ended = |end| {
-                let end = Some(end);
-                RunOutcome::Ended(RunReport { task, run, end }, None)
+            let report = |end| RunReport {
+                task,
+                run,
+                end: Some(end),
             };
-            self.outbox.push(match entry.phase {
-                Phase::Stopping { began: false, .. } => RunOutcome::Refused(RefusedStart {
-                    task,
-                    run,
-                    reason: RefusalReason::Unanswered,
-                }),
-                Phase::Stopping { .. } => ended(RunEnd::Stopped),
-                Phase::Starting | Phase::Running(_) => ended(RunEnd::Lapsed),
-            });
+            match (entry.phase, entry.owner) {
+                (Phase::Stopping { began: false, .. }, Some(owner)) => {
+                    let reason = RefusalReason::Unanswered;
+                    let refused = RefusedStart { task, run, reason };
+                    self.outbox.push((owner, RunOutcome::Refused(refused)));
+                }
+                (Phase::Stopping { .. }, owner) => {
+                    self.note_over(now, owner, report(RunEnd::Stopped), None);
+                }
+                (Phase::Starting | Phase::Running(_), owner) => {
+                    self.note_over(now, owner, report(RunEnd::Lapsed), None);
+                }
+            }
         }
     }
 }
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -1,123 +1,102 @@
-//! The leader's orders, and what the instance answers to them.
+//! Owners' orders, and what the instance answers to them.
 
-use hemlock_dispatch::prelude::{Order, RefusalReason, StartOrder, StopOrder};
+use hemlock_dispatch::prelude::{Order, RefusalReason, StopOrder};
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::Instant;
 
-use super::{DriverCall, RunOutcome, RefusedStart, Runs};
+use super::{DriverCall, RefusedStart, RunOutcome, Runs};
 use crate::driver::{StartCall, StartResult, StopCall, StopResult};
-use crate::entry::{Entry, Phase};
+use crate::entry::{Entry, Owner, Phase};
 
 impl Runs {
-    /// Takes the leader's orders: the calls that carry them out, and the starts that are refused.
+    /// Takes an owner's orders: the calls that carry them out, and the starts that are refused.
     pub fn take_order(
         &mut self,
         now: Instant,
+        owner: Owner,
         order: Order,
     ) -> (Vec<DriverCall>, Vec<RefusedStart>) {
+        let state = self.owners.get_mut(&owner);
+        let in_session = match state {
+            Some(state) if state.session == order.session => {
+                state.last_order = state.last_order.max(order.sequence);
+                if owner != Owner::Leader {
+                    state.heard = now;
+                }
+                true
+            }
+            Some(_) | None => false,
+        };
         let mut calls = Vec::new();
         let mut refused = Vec::new();
-        let fence = self.acting_fence(now, &order);
-        for stop in order.stops {
-            calls.extend(fence.and_then(|fence| self.stop(stop, fence)));
+        if in_session {
+            let stops = order.stops.into_iter();
+            calls.extend(stops.filter_map(|stop| self.stop(now, owner, stop)));
         }
-        let for_present_instance = match (&self.instance, &order.instance) {
-            (Some(instance), Some(meant)) => {
-                self.reachable && instance.id == *meant && !instance.draining
-            }
-            (None, _) | (_, None) => false,
-        };
+        let for_instance = self.takes_starts_for(&order.instance);
         for start in order.starts {
-            let result = match fence {
-                None => Err(RefusalReason::Session),
-                Some(_) if !for_present_instance => Err(RefusalReason::NoInstance),
-                Some(fence) => self.start(now, &start, fence),
+            let (task, run) = (start.task, start.run);
+            let result = match (in_session, for_instance) {
+                (false, _) => Err(RefusalReason::Session),
+                (true, false) => Err(RefusalReason::NoInstance),
+                _ if self.is_known(task) => Err(RefusalReason::Outdated),
+                _ if !self.fits_instance(&start.needs) => Err(RefusalReason::NoRoom),
+                _ => self.enqueue(owner, start),
             };
-            match result {
-                Ok(call) => calls.push(call),
-                Err(reason) => refused.push(RefusedStart {
-                    task: start.task,
-                    run: start.run,
-                    reason,
-                }),
+            if let Err(reason) = result {
+                refused.push(RefusedStart { task, run, reason });
             }
         }
+        calls.extend(self.start_queued(now));
         (calls, refused)
     }
 
-    /// The fencing number under which the order may be carried out.
-    fn acting_fence(&self, now: Instant, order: &Order) -> Option<u64> {
-        let session = self.session.filter(|session| session.id == order.session)?;
-        // An order of the session shows that the leader has adopted what was listed.
-        (session.listed && self.may_act(now)).then_some(session.fence)
+    fn is_known(&self, task: TaskKey) -> bool {
+        self.table.contains_key(&task) || self.queued.contains_key(&task)
     }
 
-    /// Stops runs that the leader doesn't want.
-    pub fn stop_all(&mut self, stops: &[StopOrder]) -> Vec<DriverCall> {
-        let Some(fence) = self.fence() else {
-            return Vec::new();
-        };
-        let calls = stops.iter().filter_map(|stop| self.stop(*stop, fence));
-        calls.collect()
+    fn fits_instance(&self, needs: &Resources) -> bool {
+        self.instance()
+            .is_some_and(|instance| instance.capacity.fits(needs))
     }
 
-    fn start(
-        &mut self,
-        now: Instant,
-        order: &StartOrder,
-        fence: u64,
-    ) -> Result<DriverCall, RefusalReason> {
-        if self.table.contains_key(&order.task) {
-            return Err(RefusalReason::Outdated);
-        }
-        let (Some(instance), Some(lease_until_ms)) = (&self.instance, self.lease_until_ms(now))
-        else {
-            return Err(RefusalReason::NoInstance);
+    /// Stops a run that its owner doesn't want, or takes it out of the queue.
+    pub(super) fn stop(&mut self, now: Instant, owner: Owner, order: StopOrder) -> Option<DriverCall> {
+        let (task, run) = (order.task, order.run);
+        let waits = |queued: &crate::entry::QueuedStart| {
+            queued.owner == owner && queued.order.run == run
         };
-        if !instance.capacity.minus(&self.used).fits(&order.needs) {
-            return Err(RefusalReason::NoRoom);
+        if self.queued.get(&task).is_some_and(waits) {
+            self.dequeue(task);
+            let reason = RefusalReason::Withdrawn;
+            let refused = RefusedStart { task, run, reason };
+            self.outbox.push((owner, RunOutcome::Refused(refused)));
+            return None;
         }
-        let entry = Entry {
-            run: order.run,
-            needs: order.needs,
-            phase: Phase::Starting,
-        };
-        let capacity = instance.capacity;
-        self.insert(order.task, entry);
-        assert!(
-            capacity.fits(&self.used),
-            "what runs never passes the instance's capacity"
-        );
-        Ok(DriverCall::Start(StartCall {
-            task: order.task,
-            run: order.run,
-            payload: order.payload.clone(),
-            lease_until_ms,
-            fence,
-        }))
+        let known = self.table.get(&task).copied()?;
+        let is_owner = known.owner.is_none_or(|current| current == owner);
+        (is_owner && known.run == run)
+            .then(|| self.begin_stop(now, task))
+            .flatten()
     }
 
-    fn stop(&mut self, order: StopOrder, fence: u64) -> Option<DriverCall> {
-        let (task, run) = (order.task, order.run);
-        let known = self.table.get(&task).copied();
-        let began = match known {
-            Some(entry) if entry.run != run => return None,
-            Some(Entry {
-                phase: Phase::Stopping { .. },
-                ..
-            }) => return None,
-            Some(entry) => matches!(entry.phase, Phase::Running(_)),
-            None => false,
+    /// Begins to stop whatever run of the task is there; `None` when that has begun.
+    pub(super) fn begin_stop(&mut self, now: Instant, task: TaskKey) -> Option<DriverCall> {
+        let entry = self.table.get(&task).copied()?;
+        let began = match entry.phase {
+            Phase::Stopping { .. } => return None,
+            Phase::Starting => false,
+            Phase::Running(_) => true,
         };
-        let entry = Entry {
-            run,
-            needs: known.map(|entry| entry.needs).unwrap_or_default(),
-            phase: Phase::Stopping {
+        self.set_phase(
+            task,
+            Phase::Stopping {
                 began,
                 accepted: None,
+                since: now,
             },
-        };
-        self.insert(task, entry);
+        );
+        let (run, fence) = (entry.run, self.fence);
         Some(DriverCall::Stop(StopCall { task, run, fence }))
     }
 
@@ -130,32 +109,40 @@
     ) -> Option<DriverCall> {
         let (task, run) = (call.task, call.run);
         let entry = self.table.get(&task).copied();
-        let entry = entry.filter(|entry| entry.run == run && self.fence() == Some(call.fence))?;
+        let entry = entry.filter(|entry| entry.run == run)?;
         match (result, entry.phase) {
             (StartResult::Started, Phase::Starting) => {
                 self.set_phase(task, Phase::Running(now));
                 None
             }
-            (StartResult::Started, Phase::Stopping { accepted, .. }) => {
+            (
+                StartResult::Started,
+                Phase::Stopping {
+                    accepted, since, ..
+                },
+            ) => {
                 let began = true;
-                self.set_phase(task, Phase::Stopping { began, accepted });
+                self.set_phase(
+                    task,
+                    Phase::Stopping {
+                        began,
+                        accepted,
+                        since,
+                    },
+                );
                 None
             }
             (StartResult::Refused(reason), Phase::Starting) => {
                 self.remove(task);
                 let refused = RefusedStart { task, run, reason };
-                self.outbox.push(RunOutcome::Refused(refused));
+                let owner = entry.owner;
+                self.outbox
+                    .extend(owner.map(|owner| (owner, RunOutcome::Refused(refused))));
                 None
             }
             // A stop fences a start that may still be carried out.
             (StartResult::Unanswered | StartResult::Fenced, Phase::Starting) => {
-                let phase = Phase::Stopping {
-                    began: false,
-                    accepted: None,
-                };
-                self.set_phase(task, phase);
-                let fence = call.fence;
-                Some(DriverCall::Stop(StopCall { task, run, fence }))
+                self.begin_stop(now, task)
             }
             _ => None,
         }
@@ -165,26 +152,27 @@
     pub fn stop_answered(&mut self, now: Instant, call: &StopCall, result: StopResult) {
         let entry = self.table.get(&call.task).copied();
         let current = entry.filter(|entry| entry.run == call.run);
-        let Some(Phase::Stopping { began, .. }) = current.map(|entry| entry.phase) else {
+        let Some(Phase::Stopping { began, since, .. }) = current.map(|entry| entry.phase) else {
             return;
         };
         match result {
-            StopResult::Accepted => {
-                let accepted = Some(now);
-                self.set_phase(call.task, Phase::Stopping { began, accepted });
-            }
-            StopResult::Unanswered => {
+            StopResult::Accepted => self.set_phase(
+                call.task,
+                Phase::Stopping {
+                    began,
+                    accepted: Some(now),
+                    since,
+                },
+            ),
+            StopResult::Unanswered | StopResult::Fenced => {
                 self.stop_retries.insert(call.task);
             }
-            StopResult::Fenced => {}
         }
     }
 
-    /// Stops that had no answer and are to be sent again.
+    /// Stops that had no effect and are to be sent again.
     pub fn take_stop_retries(&mut self) -> Vec<DriverCall> {
-        let Some(fence) = self.fence() else {
-            return Vec::new();
-        };
+        let fence = self.fence;
         let retries = std::mem::take(&mut self.stop_retries);
         let call = |task: TaskKey| {
             let run = self.table.get(&task)?.run;
@@ -192,10 +180,14 @@
         };
         retries.into_iter().filter_map(call).collect()
     }
+}
 
-    pub(super) fn set_phase(&mut self, task: TaskKey, phase: Phase) {
-        if let Some(entry) = self.table.get_mut(&task) {
-            entry.phase = phase;
-        }
+/// A run that another process of this agent started, or that nobody ordered.
+pub(super) fn unclaimed(run: RunNumber, phase: Phase) -> Entry {
+    Entry {
+        owner: None,
+        run,
+        needs: None,
+        phase,
     }
 }
