Keep the sequence of the first beat of an instance's life

Cause: the sequence was noted before the new life reset it, so a delayed earlier beat of the same life counted as newer. Found by the test of late beats, which failed first. The model of an instance moves the agent's table through starts, stops, leases, fences and lives.

--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -301,8 +301,8 @@
             _ if same_life && beat.sequence <= self.beat_sequence => return InstanceChange::None,
             _ => {}
         }
-        self.beat_sequence = beat.sequence;
         let runs_lost = self.note_life(now, born_ms);
+        self.beat_sequence = beat.sequence;
         if runs_lost || !same_life {
             self.clock = None;
         }
--- /dev/null
+++ b/crates/hemlock_runs/tests/bench/mod.rs
@@ -0,0 +1,192 @@
+//! An agent's table of runs beside a model of its instance.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_runs::prelude::*;
+use hemlock_standin::InstanceModel;
+use hemlock_types::prelude::*;
+
+pub(crate) const CAPACITY: Resources = Resources {
+    cpu_milli: 64_000,
+    memory_mb: 262_144,
+    accelerators: 0,
+};
+pub(crate) const FENCE: u64 = 100;
+
+pub(crate) fn task(job: u64) -> TaskKey {
+    TaskKey {
+        job: JobId(job),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+pub(crate) fn needs(cpu_milli: u64) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mb: 64,
+        accelerators: 0,
+    }
+}
+
+pub(crate) fn instance(born_ms: u64) -> InstanceReport {
+    InstanceReport {
+        id: InstanceId {
+            name: "i-1".to_owned(),
+            born_ms,
+        },
+        service: "listings".to_owned(),
+        failure_domain: "a".to_owned(),
+        capacity: CAPACITY,
+        labels: Vec::new(),
+        draining: false,
+    }
+}
+
+pub(crate) const GATEWAY: Owner = Owner::Gateway(Incarnation(7));
+
+/// The agent and its instance.
+pub(crate) struct Bench {
+    pub(crate) now: Instant,
+    pub(crate) runs: Runs,
+    pub(crate) model: InstanceModel,
+    sequence: u64,
+    beats: u64,
+}
+
+impl Bench {
+    /// An agent that has heard its instance and listed it.
+    pub(crate) fn new() -> Self {
+        let mut bench = Self::unheard(InstanceModel::new(1), FENCE);
+        bench.beat(false);
+        bench.list();
+        bench
+    }
+
+    /// An agent that has just started beside an instance.
+    pub(crate) fn unheard(model: InstanceModel, fence: u64) -> Self {
+        Self {
+            now: Instant::from_ms(1_000),
+            runs: Runs::new(RunsSettings::default(), fence),
+            model,
+            sequence: 0,
+            beats: 0,
+        }
+    }
+
+    pub(crate) fn beat(&mut self, draining: bool) -> InstanceChange {
+        self.beats += 1;
+        let mut report = instance(self.model.born_ms);
+        report.draining = draining;
+        let beat = Beat {
+            instance: report,
+            clock_ms: self.model.clock_ms,
+            sequence: self.beats,
+        };
+        self.runs.beat(self.now, beat)
+    }
+
+    pub(crate) fn list_call(&self) -> ListCall {
+        ListCall {
+            fence: self.runs.fence(),
+            lease_until_ms: self.runs.lease_until_ms(self.now),
+            settled: self.runs.settled(),
+            wait_ms: 0,
+            timeout_ms: 100,
+        }
+    }
+
+    pub(crate) fn list(&mut self) -> InstanceChange {
+        let call = self.list_call();
+        let listing = self.model.list(&call).expect("the fence is the highest");
+        let (change, calls) = self.runs.take_listing(self.now, self.now, &listing);
+        self.carry_out(calls);
+        change
+    }
+
+    pub(crate) fn attach(&mut self, owner: Owner, session: u64, claims: &[Claim]) -> Inventory {
+        self.sequence = 0;
+        self.runs
+            .attach(self.now, owner, SessionId(session), claims)
+    }
+
+    pub(crate) fn order(
+        &mut self,
+        owner: Owner,
+        session: u64,
+        starts: Vec<StartOrder>,
+        stops: Vec<StopOrder>,
+    ) -> (Vec<DriverCall>, Vec<RefusedStart>) {
+        self.sequence += 1;
+        let order = Order {
+            agent: AgentId(1),
+            session: SessionId(session),
+            sequence: self.sequence,
+            instance: Some(instance(self.model.born_ms).id),
+            starts,
+            stops,
+        };
+        self.runs.take_order(self.now, owner, order)
+    }
+
+    /// Orders a start and carries it out.
+    pub(crate) fn start(&mut self, owner: Owner, session: u64, job: u64, cpu_milli: u64) {
+        let (calls, refused) = self.order(owner, session, vec![start(job, 1, cpu_milli)], vec![]);
+        assert_eq!(refused, vec![]);
+        self.carry_out(calls);
+    }
+
+    pub(crate) fn carry_out(&mut self, calls: Vec<DriverCall>) {
+        for call in calls {
+            match call {
+                DriverCall::Start(call) => {
+                    let result = self.model.start(&call);
+                    let follow_up = self.runs.start_answered(self.now, &call, result);
+                    self.carry_out(follow_up.into_iter().collect());
+                }
+                DriverCall::Stop(call) => {
+                    let result = self.model.stop(&call);
+                    self.runs.stop_answered(self.now, &call, result);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn advance_ms(&mut self, ms: u64) {
+        self.now += DurationMs::new(ms);
+        self.model.advance_ms(ms);
+    }
+
+    /// Lets time pass in small steps, with listings and ticks as the agent makes them.
+    pub(crate) fn live_ms(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.advance_ms(50);
+            let calls = self.runs.tick(self.now);
+            self.carry_out(calls);
+            if self.runs.may_renew(self.now) {
+                self.list();
+            }
+        }
+    }
+}
+
+pub(crate) fn start(job: u64, run: u64, cpu_milli: u64) -> StartOrder {
+    start_urgent(job, run, cpu_milli, 0)
+}
+
+pub(crate) fn start_urgent(job: u64, run: u64, cpu_milli: u64, priority: u32) -> StartOrder {
+    StartOrder {
+        task: task(job),
+        run: RunNumber(run),
+        payload: Bytes::from_static(b"work"),
+        needs: needs(cpu_milli),
+        urgency: Urgency {
+            class: 0,
+            priority,
+            due_in_ms: 100,
+        },
+    }
+}
