--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -46,6 +46,9 @@
     pub(crate) founders: Vec<KeeperId>,
     /// Whether nobody changes the settings when the set changes.
     pub(crate) stale_settings: bool,
+    /// The number of voters that leaders keep the set at by themselves, if they do.
+    target_voters: Option<usize>,
+    may_found: bool,
     next_seq: u64,
     next_token: u64,
     pub(crate) next_incarnation: u64,
@@ -55,6 +58,26 @@
 impl Sim {
     /// A cluster of `founders` keepers and `spares` that nobody has added yet.
     pub(crate) fn new(seed: u64, founders: u64, spares: u64) -> Self {
+        Self::with(seed, founders, spares, None, true)
+    }
+
+    /// The same, whose leaders keep the set at `target` voters by themselves.
+    pub(crate) fn with_target(seed: u64, founders: u64, spares: u64, target: Option<usize>) -> Self {
+        Self::with(seed, founders, spares, target, true)
+    }
+
+    /// Keepers on empty disks that may not found a cluster.
+    pub(crate) fn without_founding(seed: u64, founders: u64) -> Self {
+        Self::with(seed, founders, 0, None, false)
+    }
+
+    fn with(
+        seed: u64,
+        founders: u64,
+        spares: u64,
+        target_voters: Option<usize>,
+        may_found: bool,
+    ) -> Self {
         let mut sim = Self {
             rng: Pcg32::seed_from_u64(seed),
             now_us: 1_000_000,
@@ -66,7 +89,9 @@
             calm: true,
             tempo: Tempo::default(),
             founders: (1..=founders).map(KeeperId).collect(),
-            stale_settings: false,
+            stale_settings: target_voters.is_some(),
+            target_voters,
+            may_found,
             next_seq: 0,
             next_token: 0,
             next_incarnation: 100,
@@ -146,9 +171,13 @@
     pub(crate) fn start(&mut self, id: KeeperId) {
         let seed = self.rng.random();
         let founders = self.settings();
+        let (target, may_found) = (self.target_voters, self.may_found);
         let node = self.nodes.get_mut(&id).expect("a known keeper");
         if node.quorum.is_none() {
-            node.boot(seed, founders, self.tempo.election_max_ms);
+            node.boot(seed, founders, self.tempo.election_max_ms, |config| {
+                config.target_voters = target;
+                config.may_found = may_found;
+            });
             self.feed(id, Event::Tick);
         }
     }
--- a/crates/hemlock_quorum/tests/sim/node.rs
+++ b/crates/hemlock_quorum/tests/sim/node.rs
@@ -72,13 +72,20 @@
         }
     }
 
-    pub(crate) fn boot(&mut self, seed: u64, founders: Vec<KeeperId>, election_max_ms: u64) {
+    pub(crate) fn boot(
+        &mut self,
+        seed: u64,
+        founders: Vec<KeeperId>,
+        election_max_ms: u64,
+        adjust: impl FnOnce(&mut QuorumConfig),
+    ) {
         let mut config = QuorumConfig::new(self.id, self.incarnation, founders)
             .with_times(100, 300, 400, election_max_ms)
             .with_snapshots(60, 20);
         config.chunk_bytes = 300;
         config.max_message_bytes = 2_000;
         config.max_ahead_entries = 64;
+        adjust(&mut config);
         let recovered = self.disk.recover().expect("memory is readable");
         self.quorum = Some(Quorum::new(config, seed, recovered).expect("a valid start"));
         self.applied = LogIndex::ZERO;
