Let a start go on whose answer is lost but whose run is listed

Cause: a start without an answer was stopped at once, though the next listing shows whether it was carried out.

--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -35,6 +35,7 @@
             }
             false => self.stop_strangers(now, listing),
         };
+        self.note_begun(now, listing);
         self.note_vanished(now, asked_at, listing);
         calls.extend(self.start_queued(now));
         let change = match (lost, first) {
@@ -74,6 +75,17 @@
         self.advance_settled();
     }
 
+    /// Notes starts that were carried out before their answers have come.
+    fn note_begun(&mut self, now: Instant, listing: &Listing) {
+        for listed in &listing.running {
+            let entry = self.table.get(&listed.task).copied();
+            let entry = entry.filter(|entry| entry.run == listed.run);
+            if entry.is_some_and(|entry| entry.phase == Phase::Starting) {
+                self.set_phase(listed.task, Phase::Running(now));
+            }
+        }
+    }
+
     /// Takes over what runs at an instance that was not listened to before.
     fn take_over(&mut self, now: Instant, listing: &Listing) {
         for listed in &listing.running {
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -279,3 +279,22 @@
     bench.advance_ms(401);
     assert!(!bench.runs.may_renew(bench.now));
 }
+
+#[test]
+fn a_start_whose_answer_is_lost_goes_on_when_it_is_listed() {
+    let mut bench = Bench::new();
+    bench.attach(GATEWAY, 1, &[]);
+    let (calls, _) = bench.order(GATEWAY, 1, vec![start(1, 1, 6_000)], vec![]);
+    let DriverCall::Start(call) = calls[0].clone() else {
+        panic!("a start was ordered");
+    };
+    assert_eq!(bench.model.start(&call), StartResult::Started);
+    bench.advance_ms(100);
+    bench.list();
+    let follow_up = bench
+        .runs
+        .start_answered(bench.now, &call, StartResult::Unanswered);
+    assert_eq!(follow_up, None);
+    bench.live_ms(200);
+    assert!(bench.model.running().contains_key(&task(1)));
+}
