Hear of ends sooner when an answer of the instance is lost

Cause: a listing whose answer is lost hid all ends for up to 500 ms, and so the room that waiting work needs. Listings now wait 100 ms for an end.

--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -8,12 +8,13 @@
 
 use super::Runner;
 
-/// How long the instance may wait for an end: leases last longer by more than a lost answer costs.
-const WAIT: DurationMs = DurationMs::new(300);
+/// How long the instance may wait for an end. A lost answer hides all ends for this time and the
+/// next, which holds up the work that waits for their room.
+const WAIT: DurationMs = DurationMs::new(100);
 /// How long it may wait while a stop is due to take effect.
 const STOPPING_WAIT: DurationMs = DurationMs::new(30);
 /// Time beyond the wait after which a listing counts as unanswered.
-const ANSWER_TIME: DurationMs = DurationMs::new(200);
+const ANSWER_TIME: DurationMs = DurationMs::new(100);
 /// Pause while an end waits to be settled: the instance would repeat it at once.
 const UNSETTLED_PAUSE: DurationMs = DurationMs::new(10);
 /// Pause while there is nothing to list or no right to do so.
