--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -239,6 +239,11 @@
         }
         let remaining = DurationMs::new(job.remaining_chain_ms());
         let (promise, until) = judge_promise(self.now, remaining, job.due, job.useless_at);
+        let promise = match promise {
+            // What was spent on it is lost unless the rest follows.
+            Promise::Late if job.started => Promise::Prompt,
+            promise => promise,
+        };
         let rank = Rank {
             promise,
             untouched: !job.started,
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -84,6 +84,17 @@
     assert_eq!(world.poll()[0].1.task, task(1, 10));
 }
 
+#[test]
+fn a_job_that_has_begun_is_finished_even_when_it_can_only_be_late() {
+    let mut world = Fixture::new(1);
+    world.submit(1, job(11, 6_000, 60));
+    assert_eq!(world.poll().len(), 10);
+    world.advance_ms(200);
+    world.submit(2, job(1, 6_000, 60));
+    world.end(0, task(1, 0), 1, RunEnd::Done);
+    assert_eq!(world.poll()[0].1.task, task(1, 10));
+}
+
 #[test]
 fn a_job_that_can_only_be_late_goes_behind_one_that_can_be_prompt() {
     let mut world = Fixture::new(1);
