Tell slow and standing instances by their runs, and stop what stands still

Cause: a dispatcher that judges runs by the time from order to end counts queueing as slowness, and saw a run that stands still only after 600 ms. Agents now report how long runs took, and stop those that stand still.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -4,6 +4,7 @@
 use hemlock_types::time::Instant;
 
 use super::Dispatcher;
+use crate::instance::Run;
 use crate::job::TaskState;
 use crate::order::{EndVerdict, RefusalReason, RunEnd, RunReport, SessionId};
 
@@ -50,7 +51,7 @@
             _ => return EndVerdict::Confirm,
         }
         if let Some(run) = run {
-            self.judge_instance(id, end, run.ordered_at, run.expected_ms, run.stopping);
+            self.judge_instance(id, end, report.took_ms, &run);
         }
         match end {
             RunEnd::Done => self.begin_recording(task, number, TaskEnd::Done),
@@ -58,6 +59,11 @@
                 self.note_setback(id, task);
                 self.begin_recording(task, number, TaskEnd::Failed)
             }
+            RunEnd::Stalled => {
+                self.note_setback(id, task);
+                self.set_waiting(task);
+                EndVerdict::Confirm
+            }
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
                 self.set_waiting(task);
                 EndVerdict::Confirm
@@ -84,27 +90,24 @@
         EndVerdict::Record(end)
     }
 
-    fn judge_instance(
-        &mut self,
-        id: AgentId,
-        end: RunEnd,
-        ordered_at: Instant,
-        expected_ms: u64,
-        stopping: bool,
-    ) {
+    fn judge_instance(&mut self, id: AgentId, end: RunEnd, took_ms: u64, run: &Run) {
         let now = self.now;
         let Some(agent) = self.agents.get_mut(&id) else {
             return;
         };
         match end {
             RunEnd::Done => {
-                let took_ms = now.since(ordered_at).as_ms() as f64;
-                agent.health.note_good(took_ms / expected_ms.max(1) as f64);
+                let expected_ms = run.expected_ms.max(1) as f64;
+                let pace = match took_ms {
+                    0 => 1.0,
+                    took_ms => took_ms as f64 / expected_ms,
+                };
+                let response_ms = now.since(run.ordered_at).as_ms() as f64;
+                agent.health.note_good(pace, response_ms / expected_ms);
             }
-            RunEnd::Failed => {
+            RunEnd::Failed | RunEnd::Stalled => {
                 agent.health.note_bad(now);
             }
-            RunEnd::Stopped if stopping => {}
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
         }
     }
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -14,6 +14,13 @@
 /// How long a task may wait at an instance though its job can only be late, in milliseconds: little
 /// more than the time to the next end, so that such work takes only what is left over.
 const LATE_PATIENCE_MS: u64 = 25;
+/// Multiple of its expected duration after which a run is taken to stand still. Declared durations
+/// are off by less, and an instance that is slower than that does harm like one that stands still.
+const STALL_FACTOR: u64 = 4;
+/// Time that every run gets at least before it is taken to stand still, in milliseconds.
+const STALL_MIN_MS: u64 = 250;
+/// Setbacks of one task after which its own work is taken to be the cause.
+const MAX_STALLS: u32 = 2;
 /// Tasks in a row that find no room, after which the rest waits for the next change.
 const MISSES_PER_PASS: usize = 48;
 
@@ -103,6 +110,7 @@
             required_label: spec.required_label.as_deref(),
             preferred_rack: spec.preferred_rack.as_deref(),
             avoid: task.avoid,
+            expected_ms: spec.estimate_ms,
             level: self.urgency(job).level(),
             patience_ms: self.queue_patience_ms(job),
         };
@@ -158,6 +166,10 @@
             task.state == TaskState::Waiting,
             "task {key} is started only while it waits"
         );
+        let stall_after_ms = match task.setbacks {
+            0..MAX_STALLS => (estimate_ms * STALL_FACTOR).max(STALL_MIN_MS),
+            _ => 0,
+        };
         let run = task.last_run.next();
         task.last_run = run;
         job.set_state(key, TaskState::Running(id, run));
@@ -191,6 +203,7 @@
             needs,
             urgency,
             expected_ms: estimate_ms,
+            stall_after_ms,
         });
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -187,6 +187,8 @@
     pub fn room_reported(&mut self, now: Instant, id: AgentId, session: SessionId, room: Room) {
         self.advance(now);
         if let Some(agent) = self.in_session(id, session) {
+            let percent = f64::from(room.slowest_percent);
+            agent.health.note_slowest(percent / 100.0);
             agent.room = Some(room);
             self.placement_due = true;
         }
--- a/crates/hemlock_dispatch/src/health.rs
+++ b/crates/hemlock_dispatch/src/health.rs
@@ -16,8 +16,15 @@
 const EJECTION_MAX_MS: u64 = 8_000;
 /// Good ends in a row after which earlier ejections are forgotten.
 const FORGIVE_AFTER: u32 = 20;
-/// Share of a run's duration by which the newest one moves the average.
-const PACE_WEIGHT: f64 = 0.08;
+/// Weight of the newest run in the average of durations.
+const PACE_WEIGHT: f64 = 0.15;
+/// Weight of the newest run in the average of response times.
+const RESPONSE_WEIGHT: f64 = 0.08;
+/// A run that takes more than this against what was expected shows a slow instance by itself.
+const SLOW_RUN: f64 = 8.0;
+/// An average above this shows a slow instance; below it the difference is smaller than what a wrong
+/// guess at the wait would cost.
+const SLOW_PACE: f64 = 3.0;
 
 /// Judges one instance.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +36,9 @@
     /// Whether it may have only one run until one has ended well.
     on_probation: bool,
     pace: MovingAverage,
+    response: MovingAverage,
+    /// How slow the slowest run is that goes on, while it is slow.
+    slow_pace: Option<f64>,
 }
 
 impl Default for Health {
@@ -40,17 +50,21 @@
             ejected_until: None,
             on_probation: false,
             pace: MovingAverage::with_weight(PACE_WEIGHT),
+            response: MovingAverage::with_weight(RESPONSE_WEIGHT),
+            slow_pace: None,
         }
     }
 }
 
 impl Health {
-    /// Notes a run that ended well, and how long it took against what was expected.
-    pub(crate) fn note_good(&mut self, took_share: f64) {
+    /// Notes a run that ended well, how long it took, and how long after its order its end came,
+    /// both against what was expected.
+    pub(crate) fn note_good(&mut self, took_share: f64, response_share: f64) {
         self.bad_in_row = 0;
         self.good_in_row += 1;
         self.on_probation = false;
         self.pace.note(took_share);
+        self.response.note(response_share);
         if self.good_in_row >= FORGIVE_AFTER {
             self.ejections = 0;
         }
@@ -93,8 +107,20 @@
         self.ejected_until
     }
 
-    /// How long its runs take against what is expected; above 1 for a slow one.
+    /// Notes how long the slowest run that goes on has taken against what is expected.
+    pub(crate) fn note_slowest(&mut self, pace: f64) {
+        self.slow_pace = Some(pace).filter(|pace| *pace > SLOW_RUN);
+    }
+
+    /// How long ends have come after the orders against what was expected, queueing included.
+    pub(crate) fn response(&self) -> f64 {
+        self.response.value_or(1.0)
+    }
+
+    /// How long its runs take against what is expected; 1 unless it is slow.
     pub(crate) fn pace(&self) -> f64 {
-        self.pace.value_or(1.0)
+        let average = self.pace.value_or(1.0);
+        let pace = if average > SLOW_PACE { average } else { 1.0 };
+        self.slow_pace.map_or(pace, |slow| slow.max(pace))
     }
 }
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -71,6 +71,9 @@
     /// It waited too long for the other members of its gang.
     #[display("alone")]
     Alone,
+    /// It stood still, and was stopped by its agent.
+    #[display("stalled")]
+    Stalled,
 }
 
 /// A run that an agent tells of.
@@ -82,6 +85,8 @@
     pub run: RunNumber,
     /// How it ended; `None` while it runs.
     pub end: Option<RunEnd>,
+    /// How long it ran, in milliseconds, as far as its agent saw it; zero when it didn't.
+    pub took_ms: u64,
 }
 
 /// All that an agent knows of its instance at the begin of a session.
@@ -108,6 +113,8 @@
     pub urgency: Urgency,
     /// How long it should take, in milliseconds.
     pub expected_ms: u64,
+    /// After how long it is taken to stand still, in milliseconds; zero for never.
+    pub stall_after_ms: u64,
 }
 
 impl StartOrder {
@@ -151,6 +158,8 @@
     /// Work of all owners' starts that wait there, by level of urgency, in thousandths of a core
     /// times milliseconds.
     pub queued_work: [u64; URGENCY_LEVELS],
+    /// How long the slowest run there has taken against what was expected, in per cent.
+    pub slowest_percent: u32,
     /// Owners that order starts there.
     pub owners: u32,
     /// The last of the owner's orders that is taken into account.
--- a/crates/hemlock_dispatch/src/placement.rs
+++ b/crates/hemlock_dispatch/src/placement.rs
@@ -1,9 +1,10 @@
 //! Which instance gets a task.
 //!
-//! Answers two load patterns. With room to spare, a task goes where it ends soonest: to the
-//! instance whose runs take least against what is expected. Near saturation, tasks of about a tenth
-//! of an instance leave holes that no task fits into, so among instances of about the same pace the
-//! one that is fullest after the placement is taken, which keeps the others' room in one piece.
+//! Answers two load patterns. With room to spare, a task goes where it ends soonest, by the wait
+//! there, by how slow the instance is, and by how soon ends have come from there lately, which also
+//! shows the work of others that isn't reported yet. Near saturation, tasks of about a tenth
+//! of an instance leave holes that no task fits into, so among instances where it
+//! ends at about the same time the one that is fullest after the placement is taken, which keeps the others' room in one piece.
 //! Where others place work too, what is left is known a little late only; the emptiest instance is
 //! then the one where it is least likely to have been taken meanwhile. When all are full the task
 //! waits where its turn comes first, so that the instances' queues order the work of all who place
@@ -15,10 +16,10 @@
 use crate::instance::Agent;
 use crate::settings::CapacityView;
 
-/// Waits that differ by less than this count as equally long, in milliseconds.
-const WAIT_STEP_MS: u64 = 8;
-/// Instances whose paces differ by less than this share count as equally fast.
-const PACE_STEP: f64 = 0.25;
+/// Ends that differ by less than this count as equally early, in milliseconds.
+const FINISH_STEP_MS: u64 = 8;
+/// Response times that differ by less than this share of what was expected count as equal.
+const RESPONSE_STEP: f64 = 0.25;
 
 /// What a task asks of its instance.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +30,8 @@
     pub(crate) preferred_rack: Option<&'a str>,
     /// The agent whose instance let the task down before.
     pub(crate) avoid: Option<AgentId>,
+    /// How long the task should take, in milliseconds.
+    pub(crate) expected_ms: u64,
     /// The level in which it would wait at an instance.
     pub(crate) level: usize,
     /// How long it may wait at an instance, in milliseconds.
@@ -40,8 +43,8 @@
 struct Cost {
     avoided: bool,
     other_rack: bool,
-    wait_steps: u64,
-    pace_steps: u64,
+    finish_steps: u64,
+    response_steps: u64,
     /// What is left, or its complement where the emptiest is wanted.
     left_cpu_milli: u64,
     agent: AgentId,
@@ -79,6 +82,13 @@
     }
 }
 
+/// When the task would end there, in steps that are told apart.
+fn finish_steps(agent: &Agent, wish: &Wish<'_>) -> u64 {
+    let wait_ms = agent.expected_wait_ms(&wish.needs, wish.level);
+    let work_ms = (wish.expected_ms as f64 * agent.health.pace()) as u64;
+    (wait_ms + work_ms) / FINISH_STEP_MS
+}
+
 /// What it costs to place the task there; `None` where it may not run.
 fn cost(id: AgentId, agent: &Agent, wish: &Wish<'_>, view: CapacityView) -> Option<Cost> {
     let instance = agent.instance.as_ref()?;
@@ -87,9 +97,9 @@
     let left_cpu_milli = agent.free().minus(&wish.needs).cpu_milli;
     belongs.then(|| Cost {
         avoided: wish.avoid == Some(id),
-        wait_steps: agent.expected_wait_ms(&wish.needs, wish.level) / WAIT_STEP_MS,
         other_rack: !wish.preferred_rack.is_none_or(has),
-        pace_steps: (agent.health.pace() / PACE_STEP) as u64,
+        finish_steps: finish_steps(agent, wish),
+        response_steps: (agent.health.response() / RESPONSE_STEP) as u64,
         left_cpu_milli: match view {
             CapacityView::Own => left_cpu_milli,
             CapacityView::Shared => u64::MAX - left_cpu_milli,
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -196,6 +196,7 @@
         task: task(1, 0),
         run: RunNumber(1),
         end: None,
+        took_ms: 0,
     };
     let adoption = world.register(1, vec![running]);
     assert!(adoption.stops.is_empty());
@@ -229,6 +230,7 @@
         task: task(1, 0),
         run: RunNumber(1),
         end: Some(RunEnd::Done),
+        took_ms: 60,
     };
     assert_eq!(world.report(0, ended), EndVerdict::Record(TaskEnd::Done));
     // The agent connects anew before the record is durable, and tells it again.
@@ -250,3 +252,35 @@
     world.end(0, task(1, 3), 1, RunEnd::Stopped);
     assert_eq!(world.poll().len(), 1);
 }
+
+#[test]
+fn a_slow_instance_gets_work_only_when_the_others_would_take_longer() {
+    let mut world = Fixture::new(3);
+    for id in 0..30 {
+        world.submit(id, job(1, 6_000, 200));
+        for (agent, start) in world.poll() {
+            let took_ms = if agent == 0 { 1_300 } else { 200 };
+            world.end_after(agent, start.task, start.run.0, RunEnd::Done, took_ms);
+        }
+        world.advance_ms(5);
+    }
+    let mut at_slow = 0;
+    for id in 100..120 {
+        world.submit(id, job(1, 3_000, 200));
+        at_slow += world.poll().iter().filter(|(agent, _)| *agent == 0).count();
+    }
+    assert_eq!(at_slow, 0);
+}
+
+#[test]
+fn a_run_that_stood_still_is_made_again_elsewhere_and_does_not_count_as_an_attempt() {
+    let mut world = Fixture::new(2);
+    world.submit(1, job(1, 6_000, 60));
+    let (first, start) = world.poll()[0].clone();
+    assert_eq!(start.stall_after_ms, 250);
+    world.end(first, task(1, 0), 1, RunEnd::Stalled);
+    let (second, _) = world.poll()[0].clone();
+    assert_ne!(first, second);
+    let open = world.book.job(JobId(1)).and_then(JobRecord::open);
+    assert_eq!(open.map(|open| open.steps[0][0].failures), Some(0));
+}
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -51,6 +51,7 @@
                 accelerators: 0,
             },
             queued_work,
+            slowest_percent: 0,
             owners: 4,
             last_order: 0,
         };
--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -70,18 +70,18 @@
                 self.make_calls(calls);
                 self.tell_outcomes();
                 self.room_changed.notify_one();
-                RunnerReply::Ordered(refused, self.runs.borrow().room(owner))
+                RunnerReply::Ordered(refused, self.runs.borrow().room(now, owner))
             }
             (RunnerRequest::Attach(session, claims), Owner::Gateway(gateway)) => {
                 self.gateways.attached(gateway, peer.connection, session);
                 let mut runs = self.runs.borrow_mut();
                 let inventory = runs.attach(now, owner, session, &claims);
-                RunnerReply::Attached(inventory, runs.room(owner))
+                RunnerReply::Attached(inventory, runs.room(now, owner))
             }
             (RunnerRequest::Ping(session), Owner::Gateway(_)) => {
                 let mut runs = self.runs.borrow_mut();
                 match runs.owner_heard(owner, session, now) {
-                    true => RunnerReply::Alive(runs.room(owner)),
+                    true => RunnerReply::Alive(runs.room(now, owner)),
                     false => RunnerReply::VoidSession,
                 }
             }
--- a/crates/hemlock_runs/src/entry.rs
+++ b/crates/hemlock_runs/src/entry.rs
@@ -30,6 +30,8 @@
         accepted: Option<Instant>,
         /// When the stop was decided.
         since: Instant,
+        /// Whether it was decided because the run stood still.
+        stalled: bool,
     },
 }
 
@@ -41,9 +43,22 @@
     pub(crate) run: RunNumber,
     /// Unknown like the owner.
     pub(crate) needs: Option<Resources>,
+    /// How long it should take, in milliseconds; zero when that isn't known.
+    pub(crate) expected_ms: u64,
+    /// After how long it is taken to stand still, in milliseconds; zero for never.
+    pub(crate) stall_after_ms: u64,
+    /// When it was first known to run.
+    pub(crate) began_at: Option<Instant>,
     pub(crate) phase: Phase,
 }
 
+impl Entry {
+    /// How long it has run, in milliseconds, as far as is known.
+    pub(crate) fn took_ms(&self, now: Instant) -> u64 {
+        self.began_at.map_or(0, |began| now.since(began).as_ms())
+    }
+}
+
 /// A start that waits for room.
 #[derive(Clone, Debug)]
 pub(crate) struct QueuedStart {
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -10,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use hemlock_dispatch::prelude::{
-    InstanceId, InstanceReport, RefusalReason, Room, RunReport, SessionId, URGENCY_LEVELS,
+    InstanceId, InstanceReport, RefusalReason, Room, RunEnd, RunReport, SessionId,
+    URGENCY_LEVELS,
 };
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
@@ -20,6 +21,9 @@
 
 /// Per mille of true time that an instance's clock may lose.
 const SLOW_CLOCK_PER_MILLE: u64 = 20;
+/// Runs that should be shorter count as being this long when their pace is judged, because what
+/// hearing of their ends takes would make them look slow.
+const SHORT_RUN_MS: u64 = 50;
 /// How far a fencing number is raised when a higher one has been seen.
 const FENCE_STEP: u64 = 60_000;
 
@@ -272,7 +276,7 @@
     }
 
     /// What an owner needs to know to order more.
-    pub fn room(&self, owner: Owner) -> Room {
+    pub fn room(&self, now: Instant, owner: Owner) -> Room {
         let free = match (self.instance(), self.has_unclaimed()) {
             (Some(instance), false) => instance
                 .capacity
@@ -284,11 +288,20 @@
         Room {
             free,
             queued_work: self.queued_work,
+            slowest_percent: self.slowest_percent(now),
             owners: u32::try_from(self.owners.len()).unwrap_or(u32::MAX),
             last_order: state.map_or(0, |state| state.last_order),
         }
     }
 
+    /// How long the slowest run has taken against what was expected, in per cent.
+    fn slowest_percent(&self, now: Instant) -> u32 {
+        let percent = |entry: &Entry| entry.took_ms(now) * 100 / entry.expected_ms.max(SHORT_RUN_MS);
+        let known = self.table.values().filter(|entry| entry.expected_ms > 0);
+        let slowest = known.map(percent).max().unwrap_or(0);
+        u32::try_from(slowest).unwrap_or(u32::MAX)
+    }
+
     /// Whether something runs whose needs aren't known.
     fn has_unclaimed(&self) -> bool {
         self.table.values().any(|entry| entry.needs.is_none())
@@ -385,9 +398,13 @@
         self.stop_retries.clear();
         self.unclaimed_since = None;
         for (task, entry) in table {
-            let end = Some(hemlock_dispatch::prelude::RunEnd::Lapsed);
-            let run = entry.run;
-            self.note_over(now, entry.owner, RunReport { task, run, end }, None);
+            let report = RunReport {
+                task,
+                run: entry.run,
+                end: Some(RunEnd::Lapsed),
+                took_ms: entry.took_ms(now),
+            };
+            self.note_over(now, entry.owner, report, None);
         }
         self.refuse_queue(RefusalReason::NoInstance);
     }
@@ -428,6 +445,13 @@
         Some(entry)
     }
 
+    fn note_running(&mut self, now: Instant, task: TaskKey) {
+        if let Some(entry) = self.table.get_mut(&task) {
+            entry.phase = Phase::Running(now);
+            entry.began_at.get_or_insert(now);
+        }
+    }
+
     fn set_phase(&mut self, task: TaskKey, phase: Phase) {
         if let Some(entry) = self.table.get_mut(&task) {
             entry.phase = phase;
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -57,10 +57,18 @@
             if known.is_some() {
                 self.remove(ended.task);
             }
+            let stalled = known.is_some_and(|entry| {
+                matches!(entry.phase, Phase::Stopping { stalled: true, .. })
+            });
+            let end = match ended.end {
+                RunEnd::Stopped if stalled => RunEnd::Stalled,
+                end => end,
+            };
             let report = RunReport {
                 task: ended.task,
                 run: ended.run,
-                end: Some(ended.end),
+                end: Some(end),
+                took_ms: known.map_or(0, |entry| entry.took_ms(now)),
             };
             // A gateway's job may run again, so its ends need no record.
             let settled = matches!(owner, Some(Owner::Gateway(_)));
@@ -81,7 +89,7 @@
             let entry = self.table.get(&listed.task).copied();
             let entry = entry.filter(|entry| entry.run == listed.run);
             if entry.is_some_and(|entry| entry.phase == Phase::Starting) {
-                self.set_phase(listed.task, Phase::Running(now));
+                self.note_running(now, listed.task);
             }
         }
     }
@@ -102,7 +110,7 @@
         for listed in &listing.running {
             if !self.table.contains_key(&listed.task) {
                 self.insert(listed.task, unclaimed(listed.run, Phase::Running(now)));
-                calls.extend(self.begin_stop(now, listed.task));
+                calls.extend(self.begin_stop(now, listed.task, false));
             }
         }
         calls
@@ -137,6 +145,7 @@
                 task,
                 run,
                 end: Some(end),
+                took_ms: entry.took_ms(now),
             };
             match (entry.phase, entry.owner) {
                 (Phase::Stopping { began: false, .. }, Some(owner)) => {
@@ -144,6 +153,9 @@
                     let refused = RefusedStart { task, run, reason };
                     self.outbox.push((owner, RunOutcome::Refused(refused)));
                 }
+                (Phase::Stopping { stalled: true, .. }, owner) => {
+                    self.note_over(now, owner, report(RunEnd::Stalled), None);
+                }
                 (Phase::Stopping { .. }, owner) => {
                     self.note_over(now, owner, report(RunEnd::Stopped), None);
                 }
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -76,12 +76,17 @@
         let known = self.table.get(&task).copied()?;
         let is_owner = known.owner.is_none_or(|current| current == owner);
         (is_owner && known.run == run)
-            .then(|| self.begin_stop(now, task))
+            .then(|| self.begin_stop(now, task, false))
             .flatten()
     }
 
     /// Begins to stop whatever run of the task is there; `None` when that has begun.
-    pub(super) fn begin_stop(&mut self, now: Instant, task: TaskKey) -> Option<DriverCall> {
+    pub(super) fn begin_stop(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        stalled: bool,
+    ) -> Option<DriverCall> {
         let entry = self.table.get(&task).copied()?;
         let began = match entry.phase {
             Phase::Stopping { .. } => return None,
@@ -94,6 +99,7 @@
                 began,
                 accepted: None,
                 since: now,
+                stalled,
             },
         );
         let (run, fence) = (entry.run, self.fence);
@@ -112,13 +118,16 @@
         let entry = entry.filter(|entry| entry.run == run)?;
         match (result, entry.phase) {
             (StartResult::Started, Phase::Starting) => {
-                self.set_phase(task, Phase::Running(now));
+                self.note_running(now, task);
                 None
             }
             (
                 StartResult::Started,
                 Phase::Stopping {
-                    accepted, since, ..
+                    accepted,
+                    since,
+                    stalled,
+                    ..
                 },
             ) => {
                 let began = true;
@@ -128,6 +137,7 @@
                         began,
                         accepted,
                         since,
+                        stalled,
                     },
                 );
                 None
@@ -142,7 +152,7 @@
             }
             // A stop fences a start that may still be carried out.
             (StartResult::Unanswered | StartResult::Fenced, Phase::Starting) => {
-                self.begin_stop(now, task)
+                self.begin_stop(now, task, false)
             }
             _ => None,
         }
@@ -152,7 +162,14 @@
     pub fn stop_answered(&mut self, now: Instant, call: &StopCall, result: StopResult) {
         let entry = self.table.get(&call.task).copied();
         let current = entry.filter(|entry| entry.run == call.run);
-        let Some(Phase::Stopping { began, since, .. }) = current.map(|entry| entry.phase) else {
+        let phase = current.map(|entry| entry.phase);
+        let Some(Phase::Stopping {
+            began,
+            since,
+            stalled,
+            ..
+        }) = phase
+        else {
             return;
         };
         match result {
@@ -162,6 +179,7 @@
                     began,
                     accepted: Some(now),
                     since,
+                    stalled,
                 },
             ),
             StopResult::Unanswered | StopResult::Fenced => {
@@ -188,6 +206,9 @@
         owner: None,
         run,
         needs: None,
+        expected_ms: 0,
+        stall_after_ms: 0,
+        began_at: None,
         phase,
     }
 }
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -52,6 +52,7 @@
             task: *task,
             run: entry.run,
             end: None,
+            took_ms: 0,
         }));
         Inventory {
             instance: self.instance().cloned(),
@@ -84,7 +85,13 @@
         }
         self.advance_settled();
         let _ = now;
-        RunReport { task, run, end }
+        let took_ms = 0;
+        RunReport {
+            task,
+            run,
+            end,
+            took_ms,
+        }
     }
 
     /// All that may belong to the leader: its own runs, and those of unknown owners.
@@ -96,6 +103,7 @@
             task: *task,
             run: entry.run,
             end: None,
+            took_ms: 0,
         }));
         let ends = self.ends.values();
         let ends = ends.filter(|ended| matches!(ended.owner, None | Some(Owner::Leader)));
@@ -121,7 +129,7 @@
                 None if unwanted => {
                     let owned = self.table.get(&task).and_then(|entry| entry.owner);
                     if owned == Some(Owner::Leader) {
-                        calls.extend(self.begin_stop(now, task));
+                        calls.extend(self.begin_stop(now, task, false));
                     }
                 }
                 None => {
@@ -213,6 +221,7 @@
             calls.extend(self.stop_runs_of(now, Some(owner)));
         }
         calls.extend(self.stop_unclaimed(now));
+        calls.extend(self.stop_stalled(now));
         calls.extend(self.take_stop_retries());
         calls.extend(self.start_queued(now));
         calls
@@ -224,10 +233,24 @@
             (entry.owner == owner && !stopping).then_some(*task)
         };
         let tasks: Vec<TaskKey> = self.table.iter().filter_map(of_owner).collect();
-        let calls = tasks.into_iter().filter_map(|task| self.begin_stop(now, task));
+        let calls = tasks.into_iter().filter_map(|task| self.begin_stop(now, task, false));
         calls.collect()
     }
 
+    /// Stops runs that take so long that they must be standing still.
+    fn stop_stalled(&mut self, now: Instant) -> Vec<DriverCall> {
+        let is_stalled = |entry: &Entry| {
+            let running = matches!(entry.phase, Phase::Running(_));
+            running && entry.stall_after_ms > 0 && entry.took_ms(now) > entry.stall_after_ms
+        };
+        let stalled = self.table.iter().filter(|(_, entry)| is_stalled(entry));
+        let tasks: Vec<TaskKey> = stalled.map(|(task, _)| *task).collect();
+        let calls = tasks.into_iter();
+        calls
+            .filter_map(|task| self.begin_stop(now, task, true))
+            .collect()
+    }
+
     /// Stops what an earlier process started and no owner has claimed in time.
     fn stop_unclaimed(&mut self, now: Instant) -> Vec<DriverCall> {
         let patience =
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -61,6 +61,9 @@
                 owner: Some(queued.owner),
                 run: queued.order.run,
                 needs: Some(needs),
+                expected_ms: queued.order.expected_ms,
+                stall_after_ms: queued.order.stall_after_ms,
+                began_at: None,
                 phase: Phase::Starting,
             };
             self.insert(task, entry);
--- a/crates/hemlock_runs/tests/bench/mod.rs
+++ b/crates/hemlock_runs/tests/bench/mod.rs
@@ -189,5 +189,6 @@
             due_in_ms: 100,
         },
         expected_ms: 60,
+        stall_after_ms: 0,
     }
 }
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -298,3 +298,19 @@
     bench.live_ms(200);
     assert!(bench.model.running().contains_key(&task(1)));
 }
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_told_so() {
+    let mut bench = Bench::new();
+    bench.attach(Owner::Leader, 1, &[]);
+    let mut order = start(1, 1, 6_000);
+    order.stall_after_ms = 250;
+    let (calls, _) = bench.order(Owner::Leader, 1, vec![order], vec![]);
+    bench.carry_out(calls);
+    bench.live_ms(200);
+    assert!(bench.model.running().contains_key(&task(1)));
+    bench.live_ms(200);
+    assert!(bench.model.running().is_empty());
+    let outcomes = bench.runs.take_outbox();
+    assert_eq!(ended(&outcomes), vec![(task(1), Some(RunEnd::Stalled))]);
+}
