--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -6,7 +6,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::Instant;
 use tokio::sync::oneshot;
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::message::{CallerAnswer, Rejection, Report, RunnerNews};
 
@@ -170,32 +170,37 @@
             return orders;
         }
         for id in hopeless {
-            info!(event = "job-given-up", job = %id, cause = "hopeless", started = false);
-            self.answer(
-                id,
-                CallerAnswer::Rejected {
-                    reason: Rejection::Overload,
-                    retry_after_ms: RETRY_AFTER_MS,
-                },
-            );
-            self.drop_job(now, id);
+            self.give_up(now, id, "hopeless");
         }
         while let Some((_, id)) = self.answer_times.first().copied().filter(|(at, _)| *at <= now) {
-            let started = self.dispatcher.stage(id) != Some(JobStage::Pending);
-            warn!(event = "job-given-up", job = %id, cause = "deadline", started);
-            let answer = match started {
-                true => CallerAnswer::Undecided,
-                false => CallerAnswer::Rejected {
-                    reason: Rejection::Overload,
-                    retry_after_ms: RETRY_AFTER_MS,
-                },
-            };
-            self.answer(id, answer);
-            self.drop_job(now, id);
+            self.give_up(now, id, "deadline");
         }
         orders.into_iter().chain(self.dispatcher.poll(now)).collect()
     }
 
+    /// Answers the caller of a job that won't be finished, and stops the job.
+    fn give_up(&mut self, now: Instant, id: JobId, cause: &'static str) {
+        let started = self.dispatcher.stage(id) != Some(JobStage::Pending);
+        info!(event = "job-given-up", job = %id, cause, started);
+        let answer = match started {
+            true => CallerAnswer::Undecided,
+            false => CallerAnswer::Rejected {
+                reason: Rejection::Overload,
+                retry_after_ms: RETRY_AFTER_MS,
+            },
+        };
+        self.answer(id, answer);
+        self.drop_job(now, id);
+    }
+
+    /// Gives up every job.
+    pub(super) fn give_up_all(&mut self, now: Instant) {
+        let open: Vec<JobId> = self.waiters.keys().copied().collect();
+        for id in open {
+            self.give_up(now, id, "stopping");
+        }
+    }
+
     /// When [`step`](Self::step) is due though nothing has happened.
     pub(super) fn next_deadline(&self) -> Instant {
         let answer = self.answer_times.first().map(|(at, _)| *at);
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Answers all best-effort jobs that are still open, because the process is about to end.
+    pub fn give_up_all(self: &Rc<Self>) {
+        self.engine.borrow_mut().give_up_all(self.clock.now());
+        self.pump();
+    }
+
     /// Dispatches a job and waits for its end. Dropping the future abandons the job.
     async fn serve_best_effort(
         self: &Rc<Self>,
--- a/crates/hemlock_telemetry/src/setup.rs
+++ b/crates/hemlock_telemetry/src/setup.rs
@@ -19,12 +19,14 @@
 const MAX_WAITING_LINES: usize = 4_096;
 
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
-static LOG_WRITER: OnceLock<LogWriter> = OnceLock::new();
-
-/// The thread that writes log lines, and how many it never got.
-struct LogWriter {
-    _guard: WorkerGuard,
-    dropped: ErrorCounter,
+static DROPPED_LINES: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// The thread that writes log lines; dropping it writes those that wait. A process keeps it until
+/// its last line.
+#[must_use = "lines that wait are lost when the process ends before this is dropped"]
+#[derive(Debug, Default)]
+pub struct LogWriter {
+    _guard: Option<WorkerGuard>,
 }
 
 /// What to log and count.
@@ -79,14 +81,16 @@
 /// # Errors
 ///
 /// [`TelemetryError`] when the filter does not parse or something else is installed already.
-pub fn start(config: &TelemetryConfig) -> Result<(), TelemetryError> {
-    if config.logs {
-        install_logs(config)?;
-    }
-    install_metrics()
+pub fn start(config: &TelemetryConfig) -> Result<LogWriter, TelemetryError> {
+    let writer = match config.logs {
+        true => install_logs(config)?,
+        false => LogWriter::default(),
+    };
+    install_metrics()?;
+    Ok(writer)
 }
 
-fn install_logs(config: &TelemetryConfig) -> Result<(), TelemetryError> {
+fn install_logs(config: &TelemetryConfig) -> Result<LogWriter, TelemetryError> {
     let filter = EnvFilter::try_new(&config.log_filter)
         .map_err(|_| TelemetryError::Filter(config.log_filter.clone()))?;
     let logs = tracing_subscriber::fmt()
@@ -94,30 +98,31 @@
         .flatten_event(true)
         .with_span_events(FmtSpan::NONE)
         .with_env_filter(filter);
-    let installed = match config.to_stdout {
-        false => logs.with_writer(std::io::stderr).try_init(),
-        true => {
-            let (writer, guard) = NonBlockingBuilder::default()
-                .lossy(true)
-                .buffered_lines_limit(MAX_WAITING_LINES)
-                .finish(std::io::stdout());
-            let dropped = writer.error_counter();
-            // A second writer would only be made if the first had failed to install.
-            let _ = LOG_WRITER.set(LogWriter {
-                _guard: guard,
-                dropped,
-            });
-            logs.with_writer(writer).try_init()
-        }
-    };
-    installed.map_err(|_| TelemetryError::LogsInstalled)
+    if !config.to_stdout {
+        let installed = logs.with_writer(std::io::stderr).try_init();
+        return installed
+            .map(|()| LogWriter::default())
+            .map_err(|_| TelemetryError::LogsInstalled);
+    }
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_WAITING_LINES)
+        .finish(std::io::stdout());
+    // A second counter would belong to logs that fail to install below.
+    let _ = DROPPED_LINES.set(writer.error_counter());
+    let installed = logs.with_writer(writer).try_init();
+    installed
+        .map(|()| LogWriter {
+            _guard: Some(guard),
+        })
+        .map_err(|_| TelemetryError::LogsInstalled)
 }
 
 /// Log lines that were dropped because the writer could not keep up.
 pub fn dropped_log_lines() -> u64 {
-    LOG_WRITER
+    DROPPED_LINES
         .get()
-        .map_or(0, |writer| writer.dropped.dropped_lines() as u64)
+        .map_or(0, |dropped| dropped.dropped_lines() as u64)
 }
 
 fn install_metrics() -> Result<(), TelemetryError> {
