--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -29,7 +29,12 @@
     /// # Errors
     ///
     /// [`AdmitRefusal`] when it would wait too long behind jobs that go first.
-    pub fn admit(&mut self, now: Instant, queue: &Queue, spec: &JobSpec) -> Result<(), AdmitRefusal> {
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        queue: &Queue,
+        spec: &JobSpec,
+    ) -> Result<(), AdmitRefusal> {
         self.advance(now);
         let policy = Policy::of(queue);
         let chain_ms = spec_chain_ms(spec);
@@ -84,7 +89,9 @@
             cpu_milli: 1,
             ..Resources::default()
         };
-        let there = agents.iter().map(|agent| agent.expected_wait_ms(&nothing, level));
+        let there = agents
+            .iter()
+            .map(|agent| agent.expected_wait_ms(&nothing, level));
         there.min().unwrap_or(0) + here / share
     }
 }
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -127,7 +127,9 @@
         let since_us = age.as_ms() * 1_000;
         let began = Instant::from_micros(self.now.as_micros().saturating_sub(since_us));
         let dropped = self.dropped_runs.iter().rev();
-        let earlier = dropped.filter(|(_, job, _)| *job == id).map(|(_, _, run)| *run);
+        let earlier = dropped
+            .filter(|(_, job, _)| *job == id)
+            .map(|(_, _, run)| *run);
         let run_floor = earlier.fold(self.run_floor, RunNumber::max);
         let step = |(spec, progress): (&StepSpec, &Vec<TaskProgress>)| {
             let task = |progress: &TaskProgress| Task {
@@ -201,7 +203,11 @@
         let tasks = job.steps.iter().flat_map(|step| &step.tasks);
         let highest = tasks.map(|task| task.last_run).max();
         let forgotten = |at: Instant| self.now > at + DROPPED_RUNS_KEPT;
-        while self.dropped_runs.front().is_some_and(|(at, _, _)| forgotten(*at)) {
+        while self
+            .dropped_runs
+            .front()
+            .is_some_and(|(at, _, _)| forgotten(*at))
+        {
             self.dropped_runs.pop_front();
         }
         let highest = highest.unwrap_or_default();
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -7,9 +7,9 @@
 use crate::instance::{Agent, Run};
 use crate::job::{Job, TaskState};
 use crate::order::{Order, StartOrder, Urgency};
-use crate::settings::CapacityView;
 use crate::placement::{Wish, choose};
 use crate::ranking::Promise;
+use crate::settings::CapacityView;
 
 /// How long a task may wait at an instance though its job can only be late, in milliseconds: little
 /// more than the time to the next end, so that such work takes only what is left over.
@@ -122,7 +122,13 @@
             }
         };
         let agents = self.agents.iter().map(|(id, agent)| (*id, agent));
-        choose(self.now, &wish, self.settings.capacity, agents, spread_holds)
+        choose(
+            self.now,
+            &wish,
+            self.settings.capacity,
+            agents,
+            spread_holds,
+        )
     }
 
     /// A job's place among the starts that wait at an instance.
--- a/crates/hemlock_dispatch/src/dispatcher/tick.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/tick.rs
@@ -55,7 +55,8 @@
 
     /// Looks for room again once an ejected instance may be tried.
     fn note_ended_ejections(&mut self) {
-        let ended = |until: Instant| until <= self.now && self.now < until + SCAN_PERIOD + SCAN_PERIOD;
+        let ended =
+            |until: Instant| until <= self.now && self.now < until + SCAN_PERIOD + SCAN_PERIOD;
         let mut agents = self.agents.values();
         if agents.any(|agent| agent.health.ejected_until().is_some_and(ended)) {
             self.placement_due = true;
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -57,7 +57,10 @@
         });
         world.advance_ms(5);
     }
-    assert!(failed <= 3, "{failed} runs went to an instance that fails everything");
+    assert!(
+        failed <= 3,
+        "{failed} runs went to an instance that fails everything"
+    );
 }
 
 #[test]
@@ -155,7 +158,10 @@
     let (accepted, refused) = refusal.expect("the queue is bounded");
     // Each job is 150 ms of work for the whole instance and takes 200 ms itself; its objective is
     // 380 ms, so the third would be late.
-    assert_eq!(accepted, 2, "what can be prompt is taken in, and nothing else");
+    assert_eq!(
+        accepted, 2,
+        "what can be prompt is taken in, and nothing else"
+    );
     assert!(refused.retry_after_ms >= 1_000);
 }
 
@@ -168,7 +174,10 @@
     let expiry_ms = DispatchSettings::default().expiry().as_ms();
     let mut waited_ms = 0;
     while waited_ms < expiry_ms {
-        assert!(world.poll().is_empty(), "a run may be alive after {waited_ms} ms");
+        assert!(
+            world.poll().is_empty(),
+            "a run may be alive after {waited_ms} ms"
+        );
         world.advance_others_ms(silent, 50);
         waited_ms += 50;
     }
@@ -218,7 +227,10 @@
     let mut world = Fixture::on(book, 1);
     let starts = world.poll();
     assert_eq!(starts.len(), 1);
-    assert!(starts[0].1.run > RunNumber(1), "the number may have been used before");
+    assert!(
+        starts[0].1.run > RunNumber(1),
+        "the number may have been used before"
+    );
 }
 
 #[test]
@@ -235,7 +247,10 @@
     assert_eq!(world.report(0, ended), EndVerdict::Record(TaskEnd::Done));
     // The agent connects anew before the record is durable, and tells it again.
     let adoption = world.register(0, vec![ended]);
-    assert_eq!(adoption.ends, vec![(ended, EndVerdict::Record(TaskEnd::Done))]);
+    assert_eq!(
+        adoption.ends,
+        vec![(ended, EndVerdict::Record(TaskEnd::Done))]
+    );
 }
 
 #[test]
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -74,7 +74,10 @@
         orders
             .flat_map(|order| {
                 let agent = order.agent.0;
-                order.starts.into_iter().map(move |start| (agent, start.task))
+                order
+                    .starts
+                    .into_iter()
+                    .map(move |start| (agent, start.task))
             })
             .collect()
     }
--- a/crates/hemlock_http/src/channel.rs
+++ b/crates/hemlock_http/src/channel.rs
@@ -114,7 +114,9 @@
         if self.stream.is_none() {
             let stream = TcpStream::connect(self.address).await;
             let stream = stream.map_err(HttpClientError::NeverSent)?;
-            stream.set_nodelay(true).map_err(HttpClientError::NeverSent)?;
+            stream
+                .set_nodelay(true)
+                .map_err(HttpClientError::NeverSent)?;
             self.stream = Some(stream);
             self.buffer.clear();
         }
@@ -204,7 +206,9 @@
 async fn read_more(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), HttpClientError> {
     buffer.reserve(READ_CHUNK_BYTES);
     match stream.read_buf(buffer).await {
-        Ok(0) => Err(HttpClientError::Lost(std::io::ErrorKind::UnexpectedEof.into())),
+        Ok(0) => Err(HttpClientError::Lost(
+            std::io::ErrorKind::UnexpectedEof.into(),
+        )),
         Ok(_) => Ok(()),
         Err(error) => Err(HttpClientError::Lost(error)),
     }
@@ -220,7 +224,9 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(error) => return Err(broken(error.to_string())),
     };
-    let status = response.code.ok_or_else(|| broken("no status".to_owned()))?;
+    let status = response
+        .code
+        .ok_or_else(|| broken("no status".to_owned()))?;
     let named = |header: &httparse::Header<'_>| {
         let value = String::from_utf8_lossy(header.value).trim().to_owned();
         (header.name.to_ascii_lowercase(), value)
--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -207,9 +207,8 @@
         };
         let (responder, answer) = Responder::new();
         self.shared.handler.handle(request, responder);
-        let dropped = |_| {
-            HttpResponse::error(500, "internal", "the request was dropped without an answer")
-        };
+        let dropped =
+            |_| HttpResponse::error(500, "internal", "the request was dropped without an answer");
         tokio::select! {
             biased;
             response = answer => Ok(response.unwrap_or_else(dropped)),
--- a/crates/hemlock_jobs/src/ids.rs
+++ b/crates/hemlock_jobs/src/ids.rs
@@ -21,8 +21,8 @@
 
     /// Reads exactly sixteen lower- or upper-case hexadecimal digits.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let well_formed = text.len() == JOB_ID_DIGITS
-            && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let well_formed =
+            text.len() == JOB_ID_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
         // An empty string fails to parse, as anything of another shape should.
         let digits = if well_formed { text } else { "" };
         u64::from_str_radix(digits, 16).map(Self)
--- a/crates/hemlock_jobs/tests/book.rs
+++ b/crates/hemlock_jobs/tests/book.rs
@@ -54,8 +54,14 @@
 fn a_job_fails_exactly_when_a_task_has_failed_as_often_as_it_may() {
     let mut book = JobBook::new(1_000);
     apply(&mut book, accept(ID, &[2], 2));
-    assert_eq!(apply(&mut book, end(0, 0, 1, TaskEnd::Failed)), Applied::Done);
-    assert_eq!(apply(&mut book, end(0, 1, 1, TaskEnd::Failed)), Applied::Done);
+    assert_eq!(
+        apply(&mut book, end(0, 0, 1, TaskEnd::Failed)),
+        Applied::Done
+    );
+    assert_eq!(
+        apply(&mut book, end(0, 1, 1, TaskEnd::Failed)),
+        Applied::Done
+    );
     let last = apply(&mut book, end(0, 0, 2, TaskEnd::Failed));
     assert_eq!(last, Applied::Ended(JobOutcome::Failed));
 }
@@ -80,7 +86,10 @@
     assert_eq!(apply(&mut book, Command::Cancel(ID)), canceled);
     let late = apply(&mut book, end(0, 0, 1, TaskEnd::Done));
     assert_eq!(late, Applied::AlreadyEnded(JobOutcome::Canceled));
-    assert_eq!(apply(&mut book, Command::Cancel(JobId(1))), Applied::Unknown);
+    assert_eq!(
+        apply(&mut book, Command::Cancel(JobId(1))),
+        Applied::Unknown
+    );
 }
 
 #[test]
--- a/crates/hemlock_jobs/tests/config.rs
+++ b/crates/hemlock_jobs/tests/config.rs
@@ -34,7 +34,9 @@
         queue("b", "one.example", "/jobs/urgent/"),
         queue("c", "two.example", "/jobs/urgent/"),
     ]);
-    let found = held.find("ONE.example", "/jobs/urgent/77").expect("a queue");
+    let found = held
+        .find("ONE.example", "/jobs/urgent/77")
+        .expect("a queue");
     assert_eq!((found.queue.name.as_str(), found.rest), ("b", "77"));
     let found = held.find("one.example", "/jobs/77").expect("a queue");
     assert_eq!((found.queue.name.as_str(), found.rest), ("a", "77"));
@@ -55,9 +57,15 @@
     let fault = configuration(vec![zero]).check();
     assert!(matches!(fault, Err(ConfigurationFault::ZeroTimeout(_))));
     let same = configuration(vec![queue("a", "h", "/p/"), queue("b", "H", "/p/")]);
-    assert!(matches!(same.check(), Err(ConfigurationFault::SamePlace(..))));
+    assert!(matches!(
+        same.check(),
+        Err(ConfigurationFault::SamePlace(..))
+    ));
     let named = configuration(vec![queue("a", "h", "/p/"), queue("a", "h", "/q/")]);
-    assert!(matches!(named.check(), Err(ConfigurationFault::SameName(_))));
+    assert!(matches!(
+        named.check(),
+        Err(ConfigurationFault::SameName(_))
+    ));
 }
 
 #[test]
@@ -65,7 +73,10 @@
     let job = |steps| JobSpec::new(Bytes::new(), steps);
     assert_eq!(job(vec![StepSpec::new(1)]).check(), Ok(()));
     assert_eq!(job(vec![]).check(), Err(SpecFault::StepCount(0)));
-    assert_eq!(job(vec![StepSpec::new(0)]).check(), Err(SpecFault::EmptyStep(0)));
+    assert_eq!(
+        job(vec![StepSpec::new(0)]).check(),
+        Err(SpecFault::EmptyStep(0))
+    );
     let mut looped = StepSpec::new(1);
     looped.depends_on = vec![0];
     assert_eq!(job(vec![looped]).check(), Err(SpecFault::Dependency(0)));
@@ -78,7 +89,13 @@
     let id = JobId(0x5c0e_7a21_d94b_36f8);
     assert_eq!(id.to_string(), "5c0e7a21d94b36f8");
     assert_eq!("5c0e7a21d94b36f8".parse(), Ok(id));
-    for wrong in ["", "5c0e7a21d94b36f", "5c0e7a21d94b36f88", "+c0e7a21d94b36f8", "zz0e7a21d94b36f8"] {
+    for wrong in [
+        "",
+        "5c0e7a21d94b36f",
+        "5c0e7a21d94b36f88",
+        "+c0e7a21d94b36f8",
+        "zz0e7a21d94b36f8",
+    ] {
         assert!(wrong.parse::<JobId>().is_err(), "{wrong:?} is no id");
     }
     let key: TaskKey = "5c0e7a21d94b36f8.0.1.17".parse().expect("a task's name");
--- a/crates/hemlock_nodes/src/connector.rs
+++ b/crates/hemlock_nodes/src/connector.rs
@@ -75,7 +75,9 @@
     /// Drops the connection, if it is still this one.
     pub(crate) fn give_up(&self, link: &Link) {
         self.leader.send_if_modified(|current| {
-            let same = current.as_ref().is_some_and(|current| current.is_same(link));
+            let same = current
+                .as_ref()
+                .is_some_and(|current| current.is_same(link));
             if same {
                 *current = None;
             }
@@ -112,11 +114,17 @@
         let identity = Rc::clone(&self.identity);
         let service = Rc::clone(&self.service);
         // A keeper that can't be reached is as good as one that doesn't lead.
-        let connection = connect(address, identity, service, ASK_TIMEOUT).await.ok()?;
+        let connection = connect(address, identity, service, ASK_TIMEOUT)
+            .await
+            .ok()?;
         let answer = connection.link.call::<_, Reply>(&Request::WhoLeads);
         let answer = tokio::time::timeout(ASK_TIMEOUT.as_std(), answer).await;
         match answer {
-            Ok(Ok(Reply::Leads { here, members, leader })) => {
+            Ok(Ok(Reply::Leads {
+                here,
+                members,
+                leader,
+            })) => {
                 self.learn(members.into_iter().chain(leader));
                 here.then_some(connection)
             }
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -19,8 +19,8 @@
 use super::peers::Peers;
 use super::service::CoordinatorService;
 use super::waiters::{CommandWaiter, ReadWaiter, reply};
-use crate::message::{CallerAnswer, JobState, Reply, RunnerReply, RunnerRequest};
 use super::watchers::Watchers;
+use crate::message::{CallerAnswer, JobState, Reply, RunnerReply, RunnerRequest};
 use crate::task_set::TaskSet;
 
 /// Most inputs taken in one pass.
@@ -302,7 +302,9 @@
             }
             Err(error) => {
                 warn!(event = "batch-not-encoded", %error);
-                waiters.into_iter().for_each(|(_, waiter)| self.refuse(waiter));
+                waiters
+                    .into_iter()
+                    .for_each(|(_, waiter)| self.refuse(waiter));
             }
         }
     }
@@ -329,7 +331,12 @@
         let after = self.book.configuration().map(|held| held.version);
         assert!(before <= after, "the configuration never goes back");
         if before != after {
-            info!(event = "configured", version = after, before, index = entry.index.0);
+            info!(
+                event = "configured",
+                version = after,
+                before,
+                index = entry.index.0
+            );
         }
         for (command, result) in batch.commands.iter().zip(&results) {
             self.note_applied(command, *result);
@@ -496,13 +503,26 @@
                 let agents = (version != watcher.agents)
                     .then(|| (version, self.book.agents().iter().copied().collect()));
                 let configuration = newer.cloned().map(Box::new);
-                reply(watcher.answer, Reply::Watched { configuration, agents });
+                reply(
+                    watcher.answer,
+                    Reply::Watched {
+                        configuration,
+                        agents,
+                    },
+                );
             }
             ReadWaiter::Ping(None, answer) => reply(answer, Reply::Done),
             ReadWaiter::Ping(Some((agent, session)), answer) => {
                 let dispatcher = self.dispatcher.as_mut();
                 let holds = dispatcher.is_some_and(|d| d.confirm(now, agent, session));
-                reply(answer, if holds { Reply::Done } else { Reply::VoidSession });
+                reply(
+                    answer,
+                    if holds {
+                        Reply::Done
+                    } else {
+                        Reply::VoidSession
+                    },
+                );
             }
         }
     }
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -28,12 +28,16 @@
             (Request::WhoLeads, _) => reply(answer, self.who_leads()),
             (Request::Call(call), Role::Entry) => self.take_call(call, answer),
             (Request::Ping(session), _) => self.read(ReadWaiter::Ping(session, answer)),
-            (Request::Watch { configuration, agents }, Role::Entry) => {
-                match self.dispatcher.is_some() {
-                    true => self.watchers.add(self.now, configuration, agents, answer),
-                    false => reply(answer, Reply::NotLeader),
-                }
-            }
+            (
+                Request::Watch {
+                    configuration,
+                    agents,
+                },
+                Role::Entry,
+            ) => match self.dispatcher.is_some() {
+                true => self.watchers.add(self.now, configuration, agents, answer),
+                false => reply(answer, Reply::NotLeader),
+            },
             (Request::Register(agent), Role::Agent) => {
                 self.take_registration(peer.connection, agent, answer);
             }
@@ -103,10 +107,9 @@
             }
             (CallerAction::Submit(spec), Ok(id)) => {
                 let version = configuration.version;
-                let admitted = self
-                    .dispatcher
-                    .as_mut()
-                    .map_or(Ok(()), |dispatcher| dispatcher.admit(self.now, queue, &spec));
+                let admitted = self.dispatcher.as_mut().map_or(Ok(()), |dispatcher| {
+                    dispatcher.admit(self.now, queue, &spec)
+                });
                 match admitted {
                     Ok(()) => {
                         info!(event = "job-accepting", job = %id, queue = queue.name,
@@ -167,7 +170,11 @@
         };
         let session = dispatcher.register(now, agent);
         entry.0 = session;
-        info!(event = "agent-registered", agent = agent.0, session = session.0);
+        info!(
+            event = "agent-registered",
+            agent = agent.0,
+            session = session.0
+        );
         reply(answer, Reply::Registered(session));
     }
 
@@ -303,7 +310,11 @@
         if current != Some(session) {
             return;
         }
-        info!(event = "agent-disconnected", agent = agent.0, session = session.0);
+        info!(
+            event = "agent-disconnected",
+            agent = agent.0,
+            session = session.0
+        );
         self.sessions.remove(&agent);
         let now = self.now;
         if let Some(dispatcher) = self.dispatcher.as_mut() {
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -172,10 +172,18 @@
         for id in hopeless {
             self.give_up(now, id, "hopeless");
         }
-        while let Some((_, id)) = self.answer_times.first().copied().filter(|(at, _)| *at <= now) {
+        while let Some((_, id)) = self
+            .answer_times
+            .first()
+            .copied()
+            .filter(|(at, _)| *at <= now)
+        {
             self.give_up(now, id, "deadline");
         }
-        orders.into_iter().chain(self.dispatcher.poll(now)).collect()
+        orders
+            .into_iter()
+            .chain(self.dispatcher.poll(now))
+            .collect()
     }
 
     /// Answers the caller of a job that won't be finished, and stops the job.
@@ -271,7 +279,8 @@
                 changed.runs_lost,
             );
         }
-        self.dispatcher.room_reported(now, agent, session, news.room);
+        self.dispatcher
+            .room_reported(now, agent, session, news.room);
     }
 
     pub(super) fn take_report(
--- a/crates/hemlock_nodes/src/gateway/leader.rs
+++ b/crates/hemlock_nodes/src/gateway/leader.rs
@@ -41,14 +41,21 @@
     /// Takes over what is in force, until an answer is missing or the peer doesn't lead.
     async fn watch(self: &Rc<Self>, link: &Link) -> &'static str {
         loop {
-            let held = self.configuration.borrow().as_ref().map(|held| held.version);
+            let held = self
+                .configuration
+                .borrow()
+                .as_ref()
+                .map(|held| held.version);
             let request = Request::Watch {
                 configuration: held.unwrap_or(0),
                 agents: self.runners.version(),
             };
             let answer = link.call::<_, Reply>(&request);
             match tokio::time::timeout(WATCH_TIMEOUT.as_std(), answer).await {
-                Ok(Ok(Reply::Watched { configuration, agents })) => {
+                Ok(Ok(Reply::Watched {
+                    configuration,
+                    agents,
+                })) => {
                     if let Some(configuration) = configuration {
                         self.configure(*configuration);
                     }
@@ -66,11 +73,19 @@
 
     /// Puts a configuration in force here, unless a newer one is.
     fn configure(self: &Rc<Self>, configuration: Configuration) {
-        let held = self.configuration.borrow().as_ref().map(|held| held.version);
+        let held = self
+            .configuration
+            .borrow()
+            .as_ref()
+            .map(|held| held.version);
         if held >= Some(configuration.version) {
             return;
         }
-        info!(event = "configured", version = configuration.version, before = held);
+        info!(
+            event = "configured",
+            version = configuration.version,
+            before = held
+        );
         self.engine.borrow_mut().configure(&configuration);
         self.configuration.replace(Some(Rc::new(configuration)));
         self.pump();
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -98,7 +98,11 @@
     }
 
     /// Serves a request, for a caller that waits for `time_left`.
-    pub async fn call(self: &Rc<Self>, request: CallerRequest, time_left: DurationMs) -> CallerAnswer {
+    pub async fn call(
+        self: &Rc<Self>,
+        request: CallerRequest,
+        time_left: DurationMs,
+    ) -> CallerAnswer {
         let configuration = self.configuration.borrow().clone();
         let Some(configuration) = configuration else {
             return CallerAnswer::Rejected {
@@ -112,7 +116,8 @@
         match (&request.action, found.rest.parse::<JobId>()) {
             (CallerAction::Submit(spec), Ok(id)) if spec.best_effort => {
                 let spec = spec.clone();
-                self.serve_best_effort(id, found.queue, spec, time_left).await
+                self.serve_best_effort(id, found.queue, spec, time_left)
+                    .await
             }
             (CallerAction::Cancel, Ok(id)) if self.abandon(id) => CallerAnswer::Canceled,
             (CallerAction::State, Err(_)) if found.rest.is_empty() => {
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -110,11 +110,7 @@
     }
 
     /// Keeps a session with one runner. Never returns.
-    async fn follow(
-        self: Rc<Self>,
-        agent: AgentId,
-        current: Rc<CurrentSession>,
-    ) {
+    async fn follow(self: Rc<Self>, agent: AgentId, current: Rc<CurrentSession>) {
         // An agent's id is the address that it listens on, as a keeper's is.
         let address = keeper_address(KeeperId(agent.0));
         let mut pause = CONNECT_PAUSE_MIN;
@@ -152,12 +148,17 @@
         let answer = tokio::time::timeout(ANSWER_TIMEOUT.as_std(), answer).await;
         if let Ok(Ok(RunnerReply::Attached(inventory, room))) = answer {
             let now = self.clock.now();
-            let stops =
-                self.engine
-                    .borrow_mut()
-                    .attached(now, agent, session, &inventory, room);
-            info!(event = "runner-attached", agent = agent.0, session = session.0,
-                  runs = inventory.runs.len(), unwanted = stops.len());
+            let stops = self
+                .engine
+                .borrow_mut()
+                .attached(now, agent, session, &inventory, room);
+            info!(
+                event = "runner-attached",
+                agent = agent.0,
+                session = session.0,
+                runs = inventory.runs.len(),
+                unwanted = stops.len()
+            );
             current.begin(session, link.clone());
             self.stop_unwanted(agent, session, stops);
             self.pump();
@@ -166,13 +167,16 @@
                 cause = self.ping_runner(agent, session, link) => cause,
                 () = current.until_ended(session) => "failed",
             };
-            info!(event = "runner-lost", agent = agent.0, session = session.0, cause);
+            info!(
+                event = "runner-lost",
+                agent = agent.0,
+                session = session.0,
+                cause
+            );
             current.end(session);
         }
         let now = self.clock.now();
-        self.engine
-            .borrow_mut()
-            .close_session(now, agent, session);
+        self.engine.borrow_mut().close_session(now, agent, session);
     }
 
     async fn ping_runner(
@@ -233,12 +237,7 @@
         }
     }
 
-    async fn send_order(
-        self: Rc<Self>,
-        link: Link,
-        current: &CurrentSession,
-        order: Order,
-    ) {
+    async fn send_order(self: Rc<Self>, link: Link, current: &CurrentSession, order: Order) {
         let (agent, session) = (order.agent, order.session);
         let asked_at = self.clock.now();
         let request = RunnerRequest::Order(order);
--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -23,7 +23,6 @@
 /// The items that most callers need.
 pub mod prelude {
     pub use crate::address::{keeper_address, keeper_id};
-    pub use hemlock_quorum::prelude::KeeperId;
     pub use crate::coordinator::{
         ConfigureAnswer, Coordinator, CoordinatorError, CoordinatorHandle, CoordinatorSettings,
         ReadAnswer,
@@ -31,4 +30,5 @@
     pub use crate::gateway::{Gateway, GatewaySettings};
     pub use crate::message::{CallerAction, CallerAnswer, CallerRequest, JobState, Rejection};
     pub use crate::runner::{Runner, RunnerSettings};
+    pub use hemlock_quorum::prelude::KeeperId;
 }
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -149,7 +149,10 @@
             agent: self.agent,
             session,
             report,
-            room: self.runs.borrow().room(self.clock.now(), Owner::Gateway(gateway)),
+            room: self
+                .runs
+                .borrow()
+                .room(self.clock.now(), Owner::Gateway(gateway)),
             instance,
         };
         self.tasks.spawn(async move {
--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -99,10 +99,7 @@
     }
 
     fn take_listing(self: &Rc<Self>, now: Instant, asked_at: Instant, listing: &Listing) {
-        let (change, calls) = self
-            .runs
-            .borrow_mut()
-            .take_listing(now, asked_at, listing);
+        let (change, calls) = self.runs.borrow_mut().take_listing(now, asked_at, listing);
         self.tell_change(change);
         self.make_calls(calls);
         self.tell_outcomes();
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -226,7 +226,8 @@
     fn make_calls(self: &Rc<Self>, calls: Vec<DriverCall>) {
         for call in calls {
             let runner = Rc::clone(self);
-            self.tasks.spawn(async move { runner.make_call(call).await });
+            self.tasks
+                .spawn(async move { runner.make_call(call).await });
         }
     }
 
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -63,9 +63,17 @@
         let Ok(Ok(Reply::Adopted(stops))) = answer else {
             return None;
         };
-        info!(event = "session", session = session.0, runs, unwanted = stops.len());
+        info!(
+            event = "session",
+            session = session.0,
+            runs,
+            unwanted = stops.len()
+        );
         let now = self.clock.now();
-        let calls = self.runs.borrow_mut().leader_adopted(now, &inventory, &stops);
+        let calls = self
+            .runs
+            .borrow_mut()
+            .leader_adopted(now, &inventory, &stops);
         self.make_calls(calls);
         self.leader_adopted.set(true);
         let same = self.runs.borrow().instance() == inventory.instance.as_ref();
--- a/crates/hemlock_quorum/src/quorum/founding.rs
+++ b/crates/hemlock_quorum/src/quorum/founding.rs
@@ -42,7 +42,9 @@
 impl Founding {
     pub(crate) fn new(config: &QuorumConfig, empty: bool) -> Self {
         Self {
-            may_found: config.may_found && empty && config.founders.iter().min() == Some(&config.me),
+            may_found: config.may_found
+                && empty
+                && config.founders.iter().min() == Some(&config.me),
             empty,
             not_before: Instant::ZERO,
             answers: BTreeMap::new(),
--- a/crates/hemlock_quorum/tests/own_members.rs
+++ b/crates/hemlock_quorum/tests/own_members.rs
@@ -30,11 +30,18 @@
 fn a_keeper_that_is_gone_for_good_is_replaced_by_one_at_another_address() {
     for seed in 0..40 {
         let mut sim = Sim::with_target(seed, 3, 3, Some(5));
-        assert!(sim.run_ms(20_000, |sim| voters(sim).len() == 5), "seed {seed}");
+        assert!(
+            sim.run_ms(20_000, |sim| voters(sim).len() == 5),
+            "seed {seed}"
+        );
         let gone = voters(&sim)[0];
         sim.crash(gone);
         let replaced = |sim: &Sim| voters(sim).len() == 5 && !voters(sim).contains(&gone);
-        assert!(sim.run_ms(10_000, replaced), "seed {seed}: {:?}", voters(&sim));
+        assert!(
+            sim.run_ms(10_000, replaced),
+            "seed {seed}: {:?}",
+            voters(&sim)
+        );
     }
 }
 
--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -62,7 +62,12 @@
     }
 
     /// The same, whose leaders keep the set at `target` voters by themselves.
-    pub(crate) fn with_target(seed: u64, founders: u64, spares: u64, target: Option<usize>) -> Self {
+    pub(crate) fn with_target(
+        seed: u64,
+        founders: u64,
+        spares: u64,
+        target: Option<usize>,
+    ) -> Self {
         Self::with(seed, founders, spares, target, true)
     }
 
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -25,6 +25,6 @@
     };
     pub use crate::entry::Owner;
     pub use crate::runs::{
-        Beat, Claim, DriverCall, InstanceChange, RunOutcome, RefusedStart, Runs, RunsSettings,
+        Beat, Claim, DriverCall, InstanceChange, RefusedStart, RunOutcome, Runs, RunsSettings,
     };
 }
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -10,8 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use hemlock_dispatch::prelude::{
-    InstanceId, InstanceReport, RefusalReason, Room, RunEnd, RunReport, SessionId,
-    URGENCY_LEVELS,
+    InstanceId, InstanceReport, RefusalReason, Room, RunEnd, RunReport, SessionId, URGENCY_LEVELS,
 };
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
@@ -296,7 +295,8 @@
 
     /// How long the slowest run has taken against what was expected, in per cent.
     fn slowest_percent(&self, now: Instant) -> u32 {
-        let percent = |entry: &Entry| entry.took_ms(now) * 100 / entry.expected_ms.max(SHORT_RUN_MS);
+        let percent =
+            |entry: &Entry| entry.took_ms(now) * 100 / entry.expected_ms.max(SHORT_RUN_MS);
         let known = self.table.values().filter(|entry| entry.expected_ms > 0);
         let slowest = known.map(percent).max().unwrap_or(0);
         u32::try_from(slowest).unwrap_or(u32::MAX)
@@ -418,7 +418,11 @@
         number: Option<u64>,
     ) {
         let kept = DurationMs::new(self.settings.remember_ends_ms);
-        while self.recent_ends.front().is_some_and(|(at, _)| now > *at + kept) {
+        while self
+            .recent_ends
+            .front()
+            .is_some_and(|(at, _)| now > *at + kept)
+        {
             self.recent_ends.pop_front();
         }
         self.recent_ends.push_back((now, report));
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -57,9 +57,8 @@
             if known.is_some() {
                 self.remove(ended.task);
             }
-            let stalled = known.is_some_and(|entry| {
-                matches!(entry.phase, Phase::Stopping { stalled: true, .. })
-            });
+            let stalled = known
+                .is_some_and(|entry| matches!(entry.phase, Phase::Stopping { stalled: true, .. }));
             let end = match ended.end {
                 RunEnd::Stopped if stalled => RunEnd::Stalled,
                 end => end,
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -61,11 +61,15 @@
     }
 
     /// Stops a run that its owner doesn't want, or takes it out of the queue.
-    pub(super) fn stop(&mut self, now: Instant, owner: Owner, order: StopOrder) -> Option<DriverCall> {
+    pub(super) fn stop(
+        &mut self,
+        now: Instant,
+        owner: Owner,
+        order: StopOrder,
+    ) -> Option<DriverCall> {
         let (task, run) = (order.task, order.run);
-        let waits = |queued: &crate::entry::QueuedStart| {
-            queued.owner == owner && queued.order.run == run
-        };
+        let waits =
+            |queued: &crate::entry::QueuedStart| queued.owner == owner && queued.order.run == run;
         if self.queued.get(&task).is_some_and(waits) {
             self.dequeue(task);
             let reason = RefusalReason::Withdrawn;
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -68,7 +68,14 @@
             Some(entry) => {
                 let needs = Some(entry.needs.unwrap_or(claim.needs));
                 let owner = Some(owner);
-                self.insert(task, Entry { owner, needs, ..entry });
+                self.insert(
+                    task,
+                    Entry {
+                        owner,
+                        needs,
+                        ..entry
+                    },
+                );
                 None
             }
             None => {
@@ -99,12 +106,14 @@
         let mut inventory = self.attach(now, Owner::Leader, session, &[]);
         let unknown = self.table.iter();
         let unknown = unknown.filter(|(_, entry)| entry.owner.is_none());
-        inventory.runs.extend(unknown.map(|(task, entry)| RunReport {
-            task: *task,
-            run: entry.run,
-            end: None,
-            took_ms: 0,
-        }));
+        inventory
+            .runs
+            .extend(unknown.map(|(task, entry)| RunReport {
+                task: *task,
+                run: entry.run,
+                end: None,
+                took_ms: 0,
+            }));
         let ends = self.ends.values();
         let ends = ends.filter(|ended| matches!(ended.owner, None | Some(Owner::Leader)));
         inventory.runs.extend(ends.map(|ended| ended.report));
@@ -123,7 +132,9 @@
         let mut calls = Vec::new();
         for report in &inventory.runs {
             let (task, run) = (report.task, report.run);
-            let unwanted = stops.iter().any(|stop| stop.task == task && stop.run == run);
+            let unwanted = stops
+                .iter()
+                .any(|stop| stop.task == task && stop.run == run);
             match report.end {
                 Some(_) => self.settle_report(report),
                 None if unwanted => {
@@ -233,7 +244,9 @@
             (entry.owner == owner && !stopping).then_some(*task)
         };
         let tasks: Vec<TaskKey> = self.table.iter().filter_map(of_owner).collect();
-        let calls = tasks.into_iter().filter_map(|task| self.begin_stop(now, task, false));
+        let calls = tasks
+            .into_iter()
+            .filter_map(|task| self.begin_stop(now, task, false));
         calls.collect()
     }
 
@@ -253,8 +266,7 @@
 
     /// Stops what an earlier process started and no owner has claimed in time.
     fn stop_unclaimed(&mut self, now: Instant) -> Vec<DriverCall> {
-        let patience =
-            DurationMs::new(self.settings.gateway_silence_ms + self.settings.return_ms);
+        let patience = DurationMs::new(self.settings.gateway_silence_ms + self.settings.return_ms);
         match self.unclaimed_since {
             Some(since) if now > since + patience => {
                 self.unclaimed_since = None;
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -104,9 +104,8 @@
 
     /// Drops the waiting starts of an owner, which is told nothing.
     pub(super) fn drop_queued_of(&mut self, owner: Owner) {
-        let of_owner = |(task, queued): (&TaskKey, &QueuedStart)| {
-            (queued.owner == owner).then_some(*task)
-        };
+        let of_owner =
+            |(task, queued): (&TaskKey, &QueuedStart)| (queued.owner == owner).then_some(*task);
         let tasks: Vec<TaskKey> = self.queued.iter().filter_map(of_owner).collect();
         for task in tasks {
             self.dequeue(task);
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -64,11 +64,20 @@
     let outcomes = bench.runs.take_outbox();
     assert!(matches!(
         outcomes[..],
-        [(GATEWAY, RunOutcome::Refused(RefusedStart { reason: RefusalReason::NoInstance, .. }))]
+        [(
+            GATEWAY,
+            RunOutcome::Refused(RefusedStart {
+                reason: RefusalReason::NoInstance,
+                ..
+            })
+        )]
     ));
     let (_, refused) = bench.order(GATEWAY, 1, vec![start(3, 1, 6_000)], vec![]);
     assert_eq!(refused[0].reason, RefusalReason::NoInstance);
-    assert!(bench.model.running().contains_key(&task(1)), "what runs goes on");
+    assert!(
+        bench.model.running().contains_key(&task(1)),
+        "what runs goes on"
+    );
 }
 
 #[test]
@@ -93,7 +102,10 @@
     let outcomes = bench.runs.take_outbox();
     assert!(matches!(
         outcomes[0].1,
-        RunOutcome::Refused(RefusedStart { reason: RefusalReason::Unanswered, .. })
+        RunOutcome::Refused(RefusedStart {
+            reason: RefusalReason::Unanswered,
+            ..
+        })
     ));
 }
 
@@ -165,7 +177,10 @@
     assert_eq!(ended(&outcomes), vec![(task(1), Some(RunEnd::Done))]);
     bench.list();
     assert_eq!(bench.model.unsettled().len(), 1);
-    assert!(bench.runs.take_outbox().is_empty(), "it is told once a session");
+    assert!(
+        bench.runs.take_outbox().is_empty(),
+        "it is told once a session"
+    );
     bench.runs.settle([1]);
     bench.list();
     assert!(bench.model.unsettled().is_empty());
@@ -193,7 +208,11 @@
     bench.attach(Owner::Gateway(Incarnation(8)), 1, &[]);
     let owner = Owner::Gateway(Incarnation(8));
     bench.order(owner, 1, vec![start(2, 1, 6_000)], vec![]);
-    assert_eq!(bench.runs.running(), 1, "the needs of what runs aren't known");
+    assert_eq!(
+        bench.runs.running(),
+        1,
+        "the needs of what runs aren't known"
+    );
     bench.attach(GATEWAY, 2, &[claim(1)]);
     let calls = bench.runs.tick(bench.now);
     bench.carry_out(calls);
--- a/crates/hemlock_standin/src/instance.rs
+++ b/crates/hemlock_standin/src/instance.rs
@@ -76,7 +76,9 @@
         self.clock_ms += ms;
         if self.clock_ms >= self.lease_until_ms {
             let tasks: Vec<TaskKey> = self.running.keys().copied().collect();
-            tasks.into_iter().for_each(|task| self.end(task, RunEnd::Lapsed));
+            tasks
+                .into_iter()
+                .for_each(|task| self.end(task, RunEnd::Lapsed));
         }
     }
 
