--- a/bins/agent/src/main.rs
+++ b/bins/agent/src/main.rs
@@ -106,7 +106,7 @@
 fn run(file: PathBuf) -> Result<(), ProgramError> {
     let settings = hemlock_settings::document::load::<AgentSettings>(&file)
         .map_err(|error| ProgramError::Settings(file, error))?;
-    hemlock_telemetry::start(&TelemetryConfig::default())?;
+    let _log_writer = hemlock_telemetry::start(&TelemetryConfig::default().with_stdout())?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let agent = Agent::start(settings)?;
     tracing::info!(
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -79,7 +79,7 @@
 /// Serves until a planned stop has ended.
 fn serve(file: &std::path::Path) -> Result<(), ProgramError> {
     let settings: EntrySettings = load(file)?;
-    start(&TelemetryConfig::default())?;
+    let _log_writer = start(&TelemetryConfig::default().with_stdout())?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let entry = Entry::start(settings)?;
     let handle = signals.handle();
--- a/bins/hemlock/src/demo/mod.rs
+++ b/bins/hemlock/src/demo/mod.rs
@@ -71,7 +71,8 @@
 /// Runs the demonstration and says in plain lines what it does.
 pub(crate) fn run(options: &DemoOptions) -> Result<Report, DemoError> {
     if let Some(filter) = &options.log {
-        hemlock_telemetry::start(&TelemetryConfig::default().with_log_filter(filter))?;
+        let config = TelemetryConfig::default().with_log_filter(filter);
+        let _log_writer = hemlock_telemetry::start(&config)?;
     }
     let narrator = Narrator::start();
     let plan = Plan::draw(options);
--- a/bins/keeper/src/main.rs
+++ b/bins/keeper/src/main.rs
@@ -35,7 +35,7 @@
     };
     let settings: KeeperSettings = load(&settings)?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(ProgramError::Signals)?;
-    hemlock_telemetry::start(&TelemetryConfig::default())?;
+    let _log_writer = hemlock_telemetry::start(&TelemetryConfig::default().with_stdout())?;
     let keeper = Keeper::start(settings)?;
     tracing::info!(
         incarnation = %keeper.incarnation(),
--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -261,7 +261,7 @@
             _ => return,
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// The whole answer to a refused request.
--- a/crates/hemlock_jobs/tests/book.rs
+++ b/crates/hemlock_jobs/tests/book.rs
@@ -177,10 +177,10 @@
         for command in row.0 {
             apply(&mut book, command);
             for (id, record) in book.jobs() {
-                if let Some(outcome) = record.outcome() {
-                    if *outcomes.entry(id).or_insert(outcome) != outcome {
-                        return false;
-                    }
+                let outcome = record.outcome();
+                let changed = |outcome| *outcomes.entry(id).or_insert(outcome) != outcome;
+                if outcome.is_some_and(changed) {
+                    return false;
                 }
             }
         }
