Note in the log what instances have, for a runner's next process

Cause: after a restart a runner doesn't know its instance's capacity before the next beat, up to 1.5 s later, and starts nothing until then.

--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -6,7 +6,7 @@
 use super::Dispatcher;
 use crate::instance::{Agent, Run};
 use crate::job::TaskState;
-use crate::order::{EndVerdict, InstanceReport, Inventory, Room, RunReport, SessionId, StopOrder};
+use crate::order::{EndVerdict, Inventory, Room, RunReport, SessionId, StopOrder};
 
 /// What an agent is to do after it has told what runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -6,7 +6,7 @@
 use hemlock_types::time::Instant;
 
 use crate::health::Health;
-use crate::order::{InstanceReport, Room, SessionId, StartOrder, StopOrder};
+use crate::order::{Room, SessionId, StartOrder, StopOrder};
 
 /// Time until the next end at a full instance: some ten tasks of a few hundred milliseconds.
 const NEXT_END_MS: u64 = 20;
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -27,8 +27,9 @@
 pub mod prelude {
     pub use crate::dispatcher::{AdmitRefusal, Dispatcher, JobStage};
     pub use crate::order::{
-        EndVerdict, InstanceId, InstanceReport, Inventory, Order, RefusalReason, Room, RunEnd,
-        RunReport, SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
+        EndVerdict, Inventory, Order, RefusalReason, Room, RunEnd, RunReport, SessionId,
+        StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
     };
     pub use crate::settings::{CapacityView, DispatchSettings};
+    pub use hemlock_jobs::prelude::{InstanceId, InstanceReport};
 }
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -23,33 +23,6 @@
 )]
 pub struct SessionId(pub u64);
 
-/// Names one life of an instance.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[display("{name}@{born_ms}")]
-pub struct InstanceId {
-    /// The name that the instance gave itself.
-    pub name: String,
-    /// When it was started, in Unix milliseconds; zero when it didn't say.
-    pub born_ms: u64,
-}
-
-/// What an instance says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstanceReport {
-    /// Which life of which instance.
-    pub id: InstanceId,
-    /// The service that it belongs to.
-    pub service: String,
-    /// Its failure domain.
-    pub failure_domain: String,
-    /// All it has.
-    pub capacity: Resources,
-    /// Its labels, the rack among them.
-    pub labels: Vec<String>,
-    /// Whether it is leaving and takes no new work.
-    pub draining: bool,
-}
-
 /// How a run ended at its instance.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RunEnd {
--- a/crates/hemlock_jobs/src/book.rs
+++ b/crates/hemlock_jobs/src/book.rs
@@ -1,6 +1,6 @@
 //! The replicated record of jobs.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,7 @@
 use crate::config::Configuration;
 use crate::error::BookError;
 use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
+use crate::instance::InstanceReport;
 use crate::record::{JobOutcome, JobRecord, NamedRecord};
 
 /// What a command did.
@@ -46,6 +47,7 @@
     ended: VecDeque<(u64, JobId)>,
     agents: BTreeSet<AgentId>,
     agents_version: u64,
+    instances: BTreeMap<AgentId, InstanceReport>,
 }
 
 /// The form of a snapshot.
@@ -58,6 +60,7 @@
     ended: VecDeque<(u64, JobId)>,
     agents: BTreeSet<AgentId>,
     agents_version: u64,
+    instances: BTreeMap<AgentId, InstanceReport>,
 }
 
 impl JobBook {
@@ -85,6 +88,7 @@
             ended: stored.ended,
             agents: stored.agents,
             agents_version: stored.agents_version,
+            instances: stored.instances,
         };
         Ok(())
     }
@@ -109,6 +113,7 @@
             ended: self.ended.clone(),
             agents: self.agents.clone(),
             agents_version: self.agents_version,
+            instances: self.instances.clone(),
         };
         Ok(postcard::to_stdvec(&stored)?.into())
     }
@@ -127,6 +132,10 @@
                 self.generation += 1;
                 Applied::Done
             }
+            Command::NoteInstance(agent, instance) => {
+                self.instances.insert(*agent, instance.as_ref().clone());
+                Applied::Done
+            }
             Command::Configure(configuration) => self.configure(configuration),
             Command::Accept(acceptance) => self.accept(acceptance),
             Command::Cancel(id) => self.cancel(*id),
@@ -137,6 +146,7 @@
             }
             Command::Delist(agent) => {
                 self.agents_version += u64::from(self.agents.remove(agent));
+                self.instances.remove(agent);
                 Applied::Done
             }
         }
@@ -231,6 +241,11 @@
         self.agents_version
     }
 
+    /// The instance that was last noted for an agent.
+    pub fn instance(&self, agent: AgentId) -> Option<&InstanceReport> {
+        self.instances.get(&agent)
+    }
+
     /// Drops a job, whatever its state. Only for records that are not replicated.
     pub fn forget(&mut self, id: JobId) {
         self.jobs.remove(&id);
--- a/crates/hemlock_jobs/src/command.rs
+++ b/crates/hemlock_jobs/src/command.rs
@@ -4,6 +4,7 @@
 
 use crate::config::Configuration;
 use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
+use crate::instance::InstanceReport;
 use crate::spec::JobSpec;
 
 /// A job that is to be kept.
@@ -66,6 +67,8 @@
     Enlist(AgentId),
     /// An agent has been gone for so long that it holds none.
     Delist(AgentId),
+    /// What an agent's instance has, for the agent's next process.
+    NoteInstance(AgentId, Box<InstanceReport>),
 }
 
 /// Commands that share one entry of the log.
--- a/crates/hemlock_jobs/src/lib.rs
+++ b/crates/hemlock_jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod config;
 pub mod error;
 pub mod ids;
+pub mod instance;
 pub mod record;
 pub mod spec;
 
@@ -28,6 +29,7 @@
     pub use crate::config::{Configuration, Queue, QueueMatch, ServicePool};
     pub use crate::error::{BookError, ConfigurationFault, SpecFault};
     pub use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
+    pub use crate::instance::{InstanceId, InstanceReport};
     pub use crate::record::{JobOutcome, JobRecord, OpenJob, TaskProgress};
     pub use crate::spec::{JobSpec, Resources, StepSpec};
 }
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -175,7 +175,8 @@
             agent = agent.0,
             session = session.0
         );
-        reply(answer, Reply::Registered(session));
+        let instance = self.book.instance(agent).cloned();
+        reply(answer, Reply::Registered { session, instance });
     }
 
     fn adopt(
@@ -203,6 +204,18 @@
             unwanted = adoption.stops.len(),
         );
         self.record_ends(&adoption.ends, answer, adopted(adoption.stops));
+        self.note_instance(agent, inventory.instance.as_ref());
+    }
+
+    /// Keeps what an instance has for the agent's next process, which would otherwise not know it
+    /// before the instance's next beat.
+    fn note_instance(&mut self, agent: AgentId, instance: Option<&InstanceReport>) {
+        let noted = self.book.instance(agent);
+        let newer = instance.filter(|instance| !instance.draining && Some(*instance) != noted);
+        if let Some(instance) = newer {
+            let command = Command::NoteInstance(agent, Box::new(instance.clone()));
+            self.propose(command, CommandWaiter::Nobody);
+        }
     }
 
     fn take_report(
@@ -290,7 +303,8 @@
             draining = instance.as_ref().map(|i| i.draining),
             runs_lost,
         );
-        dispatcher.instance_changed(now, agent, session, instance, runs_lost);
+        dispatcher.instance_changed(now, agent, session, instance.clone(), runs_lost);
+        self.note_instance(agent, instance.as_ref());
         reply(answer, Reply::Done);
     }
 
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -146,7 +146,12 @@
         agents: Option<(u64, Vec<AgentId>)>,
     },
     /// The session has begun.
-    Registered(SessionId),
+    Registered {
+        /// The session.
+        session: SessionId,
+        /// The agent's instance, as an earlier process of the agent described it.
+        instance: Option<InstanceReport>,
+    },
     /// The runs are adopted, and all ends told of are settled.
     Adopted(Vec<StopOrder>),
     /// The session is void.
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::SessionId;
+use hemlock_dispatch::prelude::{InstanceReport, SessionId};
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -50,10 +50,11 @@
         let register = Request::Register(self.agent);
         let answer = link.call::<_, Reply>(&register);
         let answer = tokio::time::timeout(REGISTER_TIMEOUT.as_std(), answer).await;
-        let Ok(Ok(Reply::Registered(session))) = answer else {
+        let Ok(Ok(Reply::Registered { session, instance })) = answer else {
             return None;
         };
         self.until_runs_known().await;
+        self.take_noted_instance(instance);
         let asked_at = self.clock.now();
         let inventory = self.runs.borrow_mut().leader_inventory(asked_at, session);
         let runs = inventory.runs.len();
@@ -85,6 +86,20 @@
         Some(session)
     }
 
+    /// Takes over what an earlier process knew of the instance, if the same life of it is there.
+    fn take_noted_instance(self: &Rc<Self>, noted: Option<InstanceReport>) {
+        let Some(noted) = noted else {
+            return;
+        };
+        let name = noted.id.name.clone();
+        let change = self.runs.borrow_mut().take_noted(noted);
+        if change != InstanceChange::None {
+            info!(event = "instance-noted", instance = name);
+            self.driver.set_target(Some(name));
+        }
+        self.tell_change(change);
+    }
+
     /// Waits until the instance has listed its runs, or none that an earlier process started can be
     /// alive.
     async fn until_runs_known(&self) {
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -339,6 +339,19 @@
         }
     }
 
+    /// Takes over what an earlier process knew of the instance, unless the instance has spoken for
+    /// itself since or is in another life.
+    pub fn take_noted(&mut self, noted: InstanceReport) -> InstanceChange {
+        let same_life = self.life == Some(noted.id.born_ms) && noted.id.born_ms > 0;
+        match self.instance {
+            None if same_life && self.reachable => {
+                self.instance = Some(noted);
+                InstanceChange::Updated
+            }
+            _ => InstanceChange::None,
+        }
+    }
+
     /// Notes that the instance is gone, or has been silent for longer than any lease lasts.
     pub fn instance_lost(&mut self, now: Instant) -> InstanceChange {
         let was_there = self.reachable || !self.table.is_empty();
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -333,3 +333,24 @@
     let outcomes = bench.runs.take_outbox();
     assert_eq!(ended(&outcomes), vec![(task(1), Some(RunEnd::Stalled))]);
 }
+
+#[test]
+fn a_new_process_takes_what_was_noted_of_the_same_life_only() {
+    let mut bench = Bench::unheard(InstanceModel::new(5), FENCE + 1);
+    assert_eq!(
+        bench.runs.take_noted(instance(5)),
+        InstanceChange::None,
+        "nothing was listed"
+    );
+    bench.list();
+    assert_eq!(bench.runs.take_noted(instance(4)), InstanceChange::None);
+    assert_eq!(bench.runs.take_noted(instance(5)), InstanceChange::Updated);
+    bench.attach(GATEWAY, 1, &[]);
+    bench.start(GATEWAY, 1, 1, 6_000);
+    assert_eq!(
+        bench.beat(true),
+        InstanceChange::Updated,
+        "the instance's own word goes first"
+    );
+    assert_eq!(bench.runs.take_noted(instance(5)), InstanceChange::None);
+}
