--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -38,10 +38,10 @@
         self.advance(now);
         let policy = Policy::of(queue);
         let chain_ms = spec_chain_ms(spec);
-        let objective_ms = policy.objective(chain_ms).as_ms() as f64;
-        let useful_ms = objective_ms * self.settings.admit_within_objectives;
+        let slack_ms = policy.objective(chain_ms).as_ms().saturating_sub(chain_ms);
+        let patience_ms = slack_ms as f64 * self.settings.admit_slack_share;
         let wait_ms = self.expected_wait_ms(&queue.service, policy.priority);
-        match (wait_ms + chain_ms) as f64 > useful_ms {
+        match wait_ms as f64 > patience_ms {
             false => Ok(()),
             true => Err(AdmitRefusal {
                 expected_wait_ms: wait_ms,
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -27,8 +27,9 @@
     pub margin_ms: u64,
     /// Multiple of a job's objective beyond which its result serves nobody.
     pub useless_after_objectives: f64,
-    /// Multiple of its objective within which a job must be expected to end to be taken in.
-    pub admit_within_objectives: f64,
+    /// Share of a job's slack, which is what its objective leaves beside its work, that it may be
+    /// expected to wait and is still taken in. The rest is for what the expectation misses.
+    pub admit_slack_share: f64,
     /// Least time after which a request that was rejected may be sent again, in milliseconds.
     pub retry_after_min_ms: u64,
 }
@@ -41,7 +42,7 @@
             lease_ms: 1_000,
             margin_ms: 250,
             useless_after_objectives: 3.0,
-            admit_within_objectives: 1.0,
+            admit_slack_share: 0.65,
             retry_after_min_ms: 1_000,
         }
     }
