--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -105,6 +105,7 @@
         let task = step.tasks.get(usize::from(key.index))?;
         let spec = &step.spec;
         let wish = Wish {
+            task: key,
             service: &job.service,
             needs: spec.needs,
             required_label: spec.required_label.as_deref(),
--- a/crates/hemlock_dispatch/src/placement.rs
+++ b/crates/hemlock_dispatch/src/placement.rs
@@ -5,12 +5,14 @@
 //! shows the work of others that isn't reported yet. Near saturation, tasks of about a tenth
 //! of an instance leave holes that no task fits into, so among instances where it
 //! ends at about the same time the one that is fullest after the placement is taken, which keeps the others' room in one piece.
-//! Where others place work too, what is left is known a little late only; the emptiest instance is
-//! then the one where it is least likely to have been taken meanwhile. When all are full the task
+//! Where others place work too, what is left is known a little late only, and all know the same: one
+//! of the instances with room to spare is then drawn by chance. When all are full the task
 //! waits where its turn comes first, so that the instances' queues order the work of all who place
 //! some; a task whose turn would come too late stays here.
 
-use hemlock_jobs::prelude::{AgentId, Resources};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use hemlock_jobs::prelude::{AgentId, Resources, TaskKey};
 use hemlock_types::time::Instant;
 
 use crate::instance::Agent;
@@ -18,12 +20,16 @@
 
 /// Ends that differ by less than this count as equally early, in milliseconds.
 const FINISH_STEP_MS: u64 = 8;
+/// Tasks that must fit beside the one placed for an instance to count as roomy. Roomy instances are
+/// told apart by chance: others see the same figures, and would all choose the emptiest.
+const ROOMY_TASKS: u64 = 4;
 /// Response times that differ by less than this share of what was expected count as equal.
 const RESPONSE_STEP: f64 = 0.25;
 
 /// What a task asks of its instance.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Wish<'a> {
+    pub(crate) task: TaskKey,
     pub(crate) service: &'a str,
     pub(crate) needs: Resources,
     pub(crate) required_label: Option<&'a str>,
@@ -45,8 +51,10 @@
     other_rack: bool,
     finish_steps: u64,
     response_steps: u64,
-    /// What is left, or its complement where the emptiest is wanted.
-    left_cpu_milli: u64,
+    /// What is left, or how far the instance is from being roomy where others place work too.
+    crowding: u64,
+    /// A number that differs for each task.
+    chance: u64,
     agent: AgentId,
 }
 
@@ -82,6 +90,13 @@
     }
 }
 
+/// A number that differs for each task and agent, and is the same whenever it is asked for.
+fn chance(task: TaskKey, agent: AgentId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (task, agent).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// When the task would end there, in steps that are told apart.
 fn finish_steps(agent: &Agent, wish: &Wish<'_>) -> u64 {
     let wait_ms = agent.expected_wait_ms(&wish.needs, wish.level);
@@ -100,9 +115,16 @@
         other_rack: !wish.preferred_rack.is_none_or(has),
         finish_steps: finish_steps(agent, wish),
         response_steps: (agent.health.response() / RESPONSE_STEP) as u64,
-        left_cpu_milli: match view {
+        crowding: match view {
             CapacityView::Own => left_cpu_milli,
-            CapacityView::Shared => u64::MAX - left_cpu_milli,
+            CapacityView::Shared => {
+                let tasks = left_cpu_milli / wish.needs.cpu_milli.max(1);
+                ROOMY_TASKS - tasks.min(ROOMY_TASKS)
+            }
+        },
+        chance: match view {
+            CapacityView::Own => 0,
+            CapacityView::Shared => chance(wish.task, id),
         },
         agent: id,
     })
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -58,7 +58,7 @@
     events: Vec<Event>,
     commands: Waiting,
     reads: Vec<ReadWaiter>,
-    proposals: HashMap<ProposalToken, Waiting>,
+    proposals: HashMap<ProposalToken, (Instant, Waiting)>,
     asked: HashMap<ProposalToken, Vec<ReadWaiter>>,
     applied: HashMap<LogIndex, Vec<Applied>>,
     next_token: u64,
@@ -236,6 +236,7 @@
             configuration = self.book.configuration().map(|c| c.version),
         );
         self.term = Some(term);
+        metrics::gauge!("hemlock_coordinator_leading").set(1.0);
         self.record_clock = (self.book.now_ms(), self.now);
         self.propose(Command::Lead, CommandWaiter::Lead);
     }
@@ -243,6 +244,7 @@
     fn end_leading(&mut self, term: Term) {
         warn!(event = "leadership-lost", term = term.0);
         self.term = None;
+        metrics::gauge!("hemlock_coordinator_leading").set(0.0);
         self.dispatcher = None;
         self.sessions.clear();
         for answer in self.watchers.take_all() {
@@ -297,7 +299,7 @@
         match encode(&batch) {
             Ok(command) => {
                 let token = self.draw_token();
-                self.proposals.insert(token, waiters);
+                self.proposals.insert(token, (self.now, waiters));
                 self.events.push(Event::Propose { token, command });
             }
             Err(error) => {
@@ -375,7 +377,9 @@
     }
 
     fn proposal_done(&mut self, token: ProposalToken, result: Result<LogIndex, ProposeError>) {
-        let waiting = self.proposals.remove(&token).unwrap_or_default();
+        let Some((proposed_at, waiting)) = self.proposals.remove(&token) else {
+            return;
+        };
         let index = match result {
             Ok(index) => index,
             Err(error) => {
@@ -390,6 +394,9 @@
                 return;
             }
         };
+        let took_ms = self.now.since(proposed_at).as_ms() as f64;
+        metrics::histogram!("hemlock_coordinator_commit_ms").record(took_ms);
+        metrics::counter!("hemlock_coordinator_commands_total").increment(waiting.len() as u64);
         let results = self.applied.remove(&index).unwrap_or_default();
         for ((command, waiter), result) in waiting.into_iter().zip(results) {
             self.answer_committed(&command, waiter, result);
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -31,6 +31,7 @@
 struct Waiter {
     answer: oneshot::Sender<CallerAnswer>,
     answer_by: Instant,
+    since: Instant,
 }
 
 /// Jobs, their dispatcher and who waits.
@@ -90,12 +91,13 @@
                 return Err(CallerAnswer::Finished(outcome));
             }
             // The same job is handed in while it runs: the newer request gets the answer.
-            Some(None) => return Ok(self.wait_for(id, answer_by)),
+            Some(None) => return Ok(self.wait_for(now, id, answer_by)),
             None => {}
         }
         if let Err(refusal) = self.dispatcher.admit(now, queue, &spec) {
             info!(event = "job-rejected", job = %id, queue = queue.name,
                   expected_wait_ms = refusal.expected_wait_ms);
+            metrics::counter!("hemlock_gateway_jobs_total", "answer" => "rejected").increment(1);
             return Err(CallerAnswer::Rejected {
                 reason: Rejection::Overload,
                 retry_after_ms: refusal.retry_after_ms,
@@ -115,13 +117,21 @@
             self.dispatcher.job_accepted(now, id, &queue.name, open);
             self.dispatcher.limit_usefulness(id, answer_by);
         }
-        Ok(self.wait_for(id, answer_by))
+        Ok(self.wait_for(now, id, answer_by))
     }
 
-    fn wait_for(&mut self, id: JobId, answer_by: Instant) -> oneshot::Receiver<CallerAnswer> {
+    fn wait_for(&mut self, now: Instant, id: JobId, answer_by: Instant) -> oneshot::Receiver<CallerAnswer> {
         let (answer, receiver) = oneshot::channel();
         self.take_waiter(id);
-        self.waiters.insert(id, Waiter { answer, answer_by });
+        let since = now;
+        self.waiters.insert(
+            id,
+            Waiter {
+                answer,
+                answer_by,
+                since,
+            },
+        );
         self.answer_times.insert((answer_by, id));
         receiver
     }
@@ -155,8 +165,12 @@
         self.dispatcher.job_ended(id);
     }
 
-    fn answer(&mut self, id: JobId, answer: CallerAnswer) {
+    fn answer(&mut self, now: Instant, id: JobId, answer: CallerAnswer) {
         if let Some(waiter) = self.take_waiter(id) {
+            let label = answer.label();
+            let took_ms = now.since(waiter.since).as_ms() as f64;
+            metrics::counter!("hemlock_gateway_jobs_total", "answer" => label).increment(1);
+            metrics::histogram!("hemlock_gateway_job_ms", "answer" => label).record(took_ms);
             // A caller that has left needs no answer.
             let _ = waiter.answer.send(answer);
         }
@@ -197,7 +211,7 @@
                 retry_after_ms: RETRY_AFTER_MS,
             },
         };
-        self.answer(id, answer);
+        self.answer(now, id, answer);
         self.drop_job(now, id);
     }
 
@@ -313,7 +327,7 @@
             Applied::Ended(outcome) => {
                 info!(event = "job-ended", job = %task.job, outcome = ?outcome);
                 self.dispatcher.job_ended(task.job);
-                self.answer(task.job, CallerAnswer::Finished(outcome));
+                self.answer(now, task.job, CallerAnswer::Finished(outcome));
             }
             _ => self.dispatcher.end_recorded(now, task, run, end),
         }
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -71,6 +71,25 @@
     Undecided,
 }
 
+impl CallerAnswer {
+    /// The answer's label on counters.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Finished(JobOutcome::Complete) => "complete",
+            Self::Finished(JobOutcome::Failed) => "failed",
+            Self::Finished(JobOutcome::Canceled) | Self::Canceled => "canceled",
+            Self::State(_) => "state",
+            Self::PendingJobs(_) => "count",
+            Self::NoSuchQueue => "no-such-queue",
+            Self::NoSuchJob => "no-such-job",
+            Self::BadJobId => "bad-job-id",
+            Self::Rejected { .. } => "rejected",
+            Self::Undecided => "undecided",
+        }
+    }
+}
+
 /// Why a job was not taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Rejection {
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -170,10 +170,16 @@
         for (owner, outcome) in outcomes {
             match outcome {
                 RunOutcome::Ended(ended, _) => {
+                    let end = ended.end.map_or_else(String::new, |end| end.to_string());
+                    metrics::counter!("hemlock_runner_ends_total", "end" => end).increment(1);
+                    metrics::histogram!("hemlock_runner_run_ms").record(ended.took_ms as f64);
                     debug!(event = "run-ended", task = %ended.task, run = ended.run.0,
                            owner = ?owner, end = ended.end.map(tracing::field::display));
                 }
                 RunOutcome::Refused(refused) => {
+                    let reason = refused.reason.to_string();
+                    metrics::counter!("hemlock_runner_refused_total", "reason" => reason)
+                        .increment(1);
                     info!(event = "start-failed", task = %refused.task, run = refused.run.0,
                           owner = ?owner, reason = %refused.reason);
                 }
@@ -234,7 +240,10 @@
     async fn make_call(self: Rc<Self>, call: DriverCall) {
         match call {
             DriverCall::Start(call) => {
+                let asked_at = self.clock.now();
                 let result = self.driver.start(call.clone()).await;
+                let took_ms = self.clock.now().since(asked_at).as_ms() as f64;
+                metrics::histogram!("hemlock_runner_start_ms").record(took_ms);
                 debug!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
                        result = ?result);
                 let now = self.clock.now();
--- a/crates/hemlock_telemetry/src/lib.rs
+++ b/crates/hemlock_telemetry/src/lib.rs
@@ -1,6 +1,6 @@
 //! Logs, spans and counters of one process.
 //!
-//! Logs are JSON lines on standard error, one for each change of state; what happens often is
+//! Logs are JSON lines on standard output, one for each change of state; what happens often is
 //! counted and read from `/metrics`. A sampled request leaves one span line for each hop.
 //!
 //! ```
@@ -22,7 +22,9 @@
 /// The items that most callers need.
 pub mod prelude {
     pub use crate::error::TelemetryError;
-    pub use crate::setup::{TelemetryConfig, render_metrics, start};
+    pub use crate::setup::{
+        LogWriter, TelemetryConfig, dropped_log_lines, fold_histograms, render_metrics, start,
+    };
     pub use crate::span::{Hop, SpanRecord};
     pub use crate::trace::TraceContext;
 }
--- a/crates/hemlock_telemetry/src/setup.rs
+++ b/crates/hemlock_telemetry/src/setup.rs
@@ -136,6 +136,13 @@
         .map_err(|_| TelemetryError::MetricsInstalled)
 }
 
+/// Folds recorded times into their histograms. Due every few seconds: until then each is kept.
+pub fn fold_histograms() {
+    if let Some(handle) = METRICS.get() {
+        handle.run_upkeep();
+    }
+}
+
 /// Every counter, gauge and histogram in the Prometheus text format; empty before [`start`].
 pub fn render_metrics() -> String {
     let Some(handle) = METRICS.get() else {
