--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -120,7 +120,12 @@
         Ok(self.wait_for(now, id, answer_by))
     }
 
-    fn wait_for(&mut self, now: Instant, id: JobId, answer_by: Instant) -> oneshot::Receiver<CallerAnswer> {
+    fn wait_for(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        answer_by: Instant,
+    ) -> oneshot::Receiver<CallerAnswer> {
         let (answer, receiver) = oneshot::channel();
         self.take_waiter(id);
         let since = now;
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -39,6 +39,8 @@
 #[derive(Default)]
 struct CurrentSession {
     session: RefCell<Option<(SessionId, Link)>>,
+    /// When the last order was sent that the runner has answered.
+    answered: Cell<Instant>,
     ended: Notify,
 }
 
@@ -164,7 +166,7 @@
             self.pump();
             let cause = tokio::select! {
                 () = connection.until_closed() => "closed",
-                cause = self.ping_runner(agent, session, link) => cause,
+                cause = self.ping_runner(agent, session, link, current) => cause,
                 () = current.until_ended(session) => "failed",
             };
             info!(
@@ -184,11 +186,16 @@
         agent: AgentId,
         session: SessionId,
         link: &Link,
+        current: &CurrentSession,
     ) -> &'static str {
         let ping = RunnerRequest::Ping(session);
         loop {
             tokio::time::sleep(PING_PERIOD.as_std()).await;
             let asked_at = self.clock.now();
+            // An order is as good as a ping.
+            if asked_at < current.answered.get() + PING_PERIOD {
+                continue;
+            }
             let answer = link.call::<_, RunnerReply>(&ping);
             let answer = tokio::time::timeout(ANSWER_TIMEOUT.as_std(), answer).await;
             let room = match answer {
@@ -250,6 +257,7 @@
                     ended: Vec::new(),
                     refused,
                 };
+                current.answered.set(asked_at);
                 let changed = {
                     let mut engine = self.engine.borrow_mut();
                     engine.runner_heard(asked_at, agent, session, Some(room));
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -16,7 +16,7 @@
 /// Time that a gateway may take to answer; a slower one is heard again by its pings.
 const NEWS_TIMEOUT: DurationMs = DurationMs::new(700);
 /// Least time between two tellings of what is left, for each gateway that is told.
-const ROOM_PERIOD_PER_GATEWAY_MS: u64 = 3;
+const ROOM_PERIOD_PER_GATEWAY: DurationMs = DurationMs::new(2);
 
 /// One gateway's connection.
 struct GatewayLink {
@@ -127,7 +127,7 @@
         loop {
             self.room_changed.notified().await;
             let gateways = self.gateways.in_session();
-            let period_ms = ROOM_PERIOD_PER_GATEWAY_MS * gateways.len().max(1) as u64;
+            let period_ms = ROOM_PERIOD_PER_GATEWAY.as_ms() * gateways.len().max(1) as u64;
             for gateway in gateways {
                 self.tell_gateway(gateway, Report::default(), None);
             }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -16,7 +16,7 @@
 use hemlock_wire::prelude::*;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tracing::{debug, info};
+use tracing::info;
 
 use crate::connector::{Connector, Seeds};
 use crate::message::{Reply, Report, Request};
@@ -173,7 +173,7 @@
                     let end = ended.end.map_or_else(String::new, |end| end.to_string());
                     metrics::counter!("hemlock_runner_ends_total", "end" => end).increment(1);
                     metrics::histogram!("hemlock_runner_run_ms").record(ended.took_ms as f64);
-                    debug!(event = "run-ended", task = %ended.task, run = ended.run.0,
+                    info!(event = "run-ended", task = %ended.task, run = ended.run.0,
                            owner = ?owner, end = ended.end.map(tracing::field::display));
                 }
                 RunOutcome::Refused(refused) => {
@@ -244,7 +244,7 @@
                 let result = self.driver.start(call.clone()).await;
                 let took_ms = self.clock.now().since(asked_at).as_ms() as f64;
                 metrics::histogram!("hemlock_runner_start_ms").record(took_ms);
-                debug!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
+                info!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
                        result = ?result);
                 let now = self.clock.now();
                 let follow_up = self.runs.borrow_mut().start_answered(now, &call, result);
@@ -253,7 +253,7 @@
             }
             DriverCall::Stop(call) => {
                 let result = self.driver.stop(call).await;
-                debug!(event = "stop", task = %call.task, run = call.run.0, fence = call.fence,
+                info!(event = "stop", task = %call.task, run = call.run.0, fence = call.fence,
                        result = ?result);
                 let now = self.clock.now();
                 self.runs.borrow_mut().stop_answered(now, &call, result);
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             leader_authority_ms: 2_000,
-            gateway_silence_ms: 750,
+            gateway_silence_ms: 850,
             return_ms: 250,
             lease_ms: 1_000,
             stop_ms: 50,
