--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -6,7 +6,7 @@
 //! come back, instead of waiting for an acceptance that can't be kept.
 
 use hemlock_jobs::prelude::*;
-use hemlock_types::time::Instant;
+use hemlock_types::time::{DurationMs, Instant};
 
 use super::Dispatcher;
 use crate::instance::Agent;
@@ -14,6 +14,9 @@
 use crate::order::Urgency;
 use crate::ranking::{Promise, Rank};
 
+/// Factor by which a declared duration may be too long.
+const ESTIMATE_MAY_BE_HIGH_BY: u64 = 2;
+
 /// Why a job is rejected, before anything of it is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmitRefusal {
@@ -24,16 +27,18 @@
 }
 
 impl Dispatcher {
-    /// Whether a job of the queue can be served while its result is of use.
+    /// Whether a job of the queue can be served while its result is of use, and before its caller
+    /// leaves, if it is known for how long that waits.
     ///
     /// # Errors
     ///
-    /// [`AdmitRefusal`] when it would wait too long behind jobs that go first.
+    /// [`AdmitRefusal`] when it would wait too long behind jobs that go first, or can't end in time.
     pub fn admit(
         &mut self,
         now: Instant,
         queue: &Queue,
         spec: &JobSpec,
+        time_left: Option<DurationMs>,
     ) -> Result<(), AdmitRefusal> {
         self.advance(now);
         let policy = Policy::of(queue);
@@ -41,7 +46,9 @@
         let slack_ms = policy.objective(chain_ms).as_ms().saturating_sub(chain_ms);
         let patience_ms = slack_ms as f64 * self.settings.admit_slack_share;
         let wait_ms = self.expected_wait_ms(&queue.service, policy.priority);
-        match wait_ms as f64 > patience_ms {
+        let least_ms = wait_ms + chain_ms / ESTIMATE_MAY_BE_HIGH_BY;
+        let hopeless = time_left.is_some_and(|left| least_ms > left.as_ms());
+        match hopeless || wait_ms as f64 > patience_ms {
             false => Ok(()),
             true => Err(AdmitRefusal {
                 expected_wait_ms: wait_ms,
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -299,3 +299,15 @@
     let open = world.book.job(JobId(1)).and_then(JobRecord::open);
     assert_eq!(open.map(|open| open.steps[0][0].failures), Some(0));
 }
+
+#[test]
+fn a_job_that_cannot_end_before_its_caller_leaves_is_rejected_at_once() {
+    let mut world = Fixture::new(1);
+    let spec = job(1, 6_000, 200);
+    let within = |ms| Some(hemlock_types::prelude::DurationMs::new(ms));
+    assert!(world.admit_within(&spec, within(99)).is_err());
+    assert!(
+        world.admit_within(&spec, within(100)).is_ok(),
+        "declared durations may be too long"
+    );
+}
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -94,7 +94,10 @@
             Some(None) => return Ok(self.wait_for(now, id, answer_by)),
             None => {}
         }
-        if let Err(refusal) = self.dispatcher.admit(now, queue, &spec) {
+        if let Err(refusal) = self
+            .dispatcher
+            .admit(now, queue, &spec, Some(answer_by.since(now)))
+        {
             info!(event = "job-rejected", job = %id, queue = queue.name,
                   expected_wait_ms = refusal.expected_wait_ms);
             metrics::counter!("hemlock_gateway_jobs_total", "answer" => "rejected").increment(1);
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -16,7 +16,7 @@
 /// Time that a gateway may take to answer; a slower one is heard again by its pings.
 const NEWS_TIMEOUT: DurationMs = DurationMs::new(700);
 /// Least time between two tellings of what is left, for each gateway that is told.
-const ROOM_PERIOD_PER_GATEWAY: DurationMs = DurationMs::new(2);
+const ROOM_PERIOD_PER_GATEWAY: DurationMs = DurationMs::new(3);
 
 /// One gateway's connection.
 struct GatewayLink {
