Answer claims only once it is known what an earlier process left running

Cause: a runner that had just started answered a gateway's claim as lapsed before its first listing, so the gateway started the task elsewhere while the instance still ran it.

--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -39,7 +39,7 @@
 pub struct Dispatcher {
     settings: DispatchSettings,
     now: Instant,
-    jobs: HashMap<JobId, Job>,
+    jobs: BTreeMap<JobId, Job>,
     agents: BTreeMap<AgentId, Agent>,
     /// Jobs with tasks that may be started, in order.
     ready: BTreeSet<Rank>,
@@ -67,7 +67,7 @@
         let mut dispatcher = Self {
             settings,
             now,
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             agents: BTreeMap::new(),
             ready: BTreeSet::new(),
             rank_changes: BTreeSet::new(),
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -1,6 +1,6 @@
 //! An agent and its instance as the dispatcher sees them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::Instant;
@@ -40,7 +40,7 @@
     pub(crate) room: Option<Room>,
     /// The last order to the agent.
     pub(crate) last_order: u64,
-    pub(crate) runs: HashMap<TaskKey, Run>,
+    pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) health: Health,
     /// Orders that are to be sent.
     pub(crate) starts: Vec<StartOrder>,
@@ -57,7 +57,7 @@
             used: Resources::default(),
             room: None,
             last_order: 0,
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             health: Health::default(),
             starts: Vec::new(),
             stops: Vec::new(),
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -26,6 +26,8 @@
 
 /// Time that the leader may take to record ends: a sync that stalls, and an election.
 const REPORT_TIMEOUT: DurationMs = DurationMs::new(2_500);
+/// Added to the longest lease, for calls of an earlier process that were still on their way.
+const LEASE_MARGIN: DurationMs = DurationMs::new(100);
 /// Time between two looks at what time alone brings about.
 const TICK_PERIOD: DurationMs = DurationMs::new(100);
 
@@ -111,6 +113,19 @@
         Ok(())
     }
 
+    /// Whether the instance has listed its runs, or none that an earlier process started can be
+    /// alive.
+    fn knows_runs(&self) -> bool {
+        let mut runs = self.runs.borrow_mut();
+        // The clock's origin is the start of this process, which has renewed no lease before its
+        // first listing.
+        let longest = runs.longest_lease();
+        if self.clock.now() > Instant::ZERO + longest + LEASE_MARGIN {
+            runs.leases_have_passed();
+        }
+        runs.knows_runs()
+    }
+
     async fn keep_ticking(self: &Rc<Self>) {
         loop {
             tokio::time::sleep(TICK_PERIOD.as_std()).await;
--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -72,6 +72,10 @@
                 self.room_changed.notify_one();
                 RunnerReply::Ordered(refused, self.runs.borrow().room(now, owner))
             }
+            (RunnerRequest::Attach(..), Owner::Gateway(_)) if !self.knows_runs() => {
+                // The gateway asks again shortly.
+                RunnerReply::VoidSession
+            }
             (RunnerRequest::Attach(session, claims), Owner::Gateway(gateway)) => {
                 self.gateways.attached(gateway, peer.connection, session);
                 let mut runs = self.runs.borrow_mut();
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -103,9 +103,7 @@
     /// Waits until the instance has listed its runs, or none that an earlier process started can be
     /// alive.
     async fn until_runs_known(&self) {
-        let begun = self.clock.now();
-        let longest = self.runs.borrow().longest_lease();
-        while !self.runs.borrow().is_reachable() && self.clock.now() < begun + longest {
+        while !self.knows_runs() {
             tokio::time::sleep(LISTING_PAUSE.as_std()).await;
         }
     }
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -7,7 +7,7 @@
 
 pub use owners::Claim;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use hemlock_dispatch::prelude::{
     InstanceId, InstanceReport, RefusalReason, Room, RunEnd, RunReport, SessionId, URGENCY_LEVELS,
@@ -144,7 +144,7 @@
 pub struct Runs {
     settings: RunsSettings,
     fence: u64,
-    owners: HashMap<Owner, OwnerState>,
+    owners: BTreeMap<Owner, OwnerState>,
     instance: Option<InstanceReport>,
     beat_sequence: u64,
     /// When the instance that is listened to was started.
@@ -155,7 +155,7 @@
     table: BTreeMap<TaskKey, Entry>,
     used: Resources,
     queue: BTreeSet<QueuePlace>,
-    queued: HashMap<TaskKey, QueuedStart>,
+    queued: BTreeMap<TaskKey, QueuedStart>,
     queued_needs: Resources,
     /// By level of urgency.
     queued_work: [u64; URGENCY_LEVELS],
@@ -166,6 +166,8 @@
     stop_retries: BTreeSet<TaskKey>,
     /// When runs without a known owner were found.
     unclaimed_since: Option<Instant>,
+    /// Whether it is known what earlier processes left running.
+    runs_known: bool,
 }
 
 impl Runs {
@@ -175,7 +177,7 @@
         Self {
             settings,
             fence,
-            owners: HashMap::new(),
+            owners: BTreeMap::new(),
             instance: None,
             beat_sequence: 0,
             life: None,
@@ -184,7 +186,7 @@
             table: BTreeMap::new(),
             used: Resources::default(),
             queue: BTreeSet::new(),
-            queued: HashMap::new(),
+            queued: BTreeMap::new(),
             queued_needs: Resources::default(),
             queued_work: [0; URGENCY_LEVELS],
             ends: BTreeMap::new(),
@@ -193,9 +195,22 @@
             outbox: Vec::new(),
             stop_retries: BTreeSet::new(),
             unclaimed_since: None,
+            runs_known: false,
         }
     }
 
+    /// Whether it is known what earlier processes left running. Until then no owner can be told
+    /// what became of its runs.
+    pub fn knows_runs(&self) -> bool {
+        self.runs_known
+    }
+
+    /// Notes that the longest lease has passed since this process began without renewing any: what
+    /// earlier processes left has ended.
+    pub fn leases_have_passed(&mut self) {
+        self.runs_known = true;
+    }
+
     /// The fencing number of all calls to the instance.
     pub fn fence(&self) -> u64 {
         self.fence
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -27,6 +27,7 @@
         self.note_clock(now, listing.clock_ms);
         let first = !self.reachable;
         self.reachable = true;
+        self.runs_known = true;
         self.note_ends(now, listing);
         let mut calls = match first {
             true => {
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -22,6 +22,11 @@
 impl Runs {
     /// Begins a session with an owner. Orders of its earlier sessions are refused from now on.
     /// Returns what became of the runs that it claims, and what else runs for it.
+    ///
+    /// # Panics
+    ///
+    /// Before it is known what earlier processes left running: a run that isn't known here would be
+    /// called over.
     pub fn attach(
         &mut self,
         now: Instant,
@@ -29,6 +34,10 @@
         session: SessionId,
         claims: &[Claim],
     ) -> Inventory {
+        assert!(
+            self.runs_known,
+            "claims are answered once the runs are known"
+        );
         let last_order = 0;
         self.owners.insert(
             owner,
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -354,3 +354,16 @@
     );
     assert_eq!(bench.runs.take_noted(instance(5)), InstanceChange::None);
 }
+
+#[test]
+fn claims_wait_until_it_is_known_what_an_earlier_process_left() {
+    let mut before = Bench::new();
+    before.attach(GATEWAY, 1, &[]);
+    before.start(GATEWAY, 1, 1, 6_000);
+    let mut bench = Bench::unheard(before.model, FENCE + 1);
+    assert!(!bench.runs.knows_runs());
+    bench.list();
+    assert!(bench.runs.knows_runs());
+    let inventory = bench.attach(GATEWAY, 2, &[claim(1)]);
+    assert_eq!(inventory.runs[0].end, None, "it goes on");
+}
--- a/crates/hemlock_runs/tests/world/mod.rs
+++ b/crates/hemlock_runs/tests/world/mod.rs
@@ -85,7 +85,7 @@
     now_ms: u64,
     gateways: Vec<Gateway>,
     runners: Vec<Runner>,
-    links: HashMap<(u64, u64), Link>,
+    links: BTreeMap<(u64, u64), Link>,
     /// Open jobs with their gateways.
     open: BTreeMap<JobId, u64>,
     /// Jobs that are handed in again at a time.
@@ -112,7 +112,7 @@
             now_ms: 10_000,
             gateways: Vec::new(),
             runners: Vec::new(),
-            links: HashMap::new(),
+            links: BTreeMap::new(),
             open: BTreeMap::new(),
             again: Vec::new(),
             next_job: 1,
@@ -562,6 +562,11 @@
 
     fn deliver_to_runner(&mut self, key: (u64, u64), message: Message) {
         let now = self.now();
+        if !self.runners[key.1 as usize].runs.knows_runs() {
+            // As the runner's process does: the gateway comes again.
+            self.cut(key);
+            return;
+        }
         let owner = Owner::Gateway(self.gateways[key.0 as usize].life);
         let runs = &mut self.runners[key.1 as usize].runs;
         match message {
