Renew no lease while something runs that nobody has claimed

Cause: a gateway is killed, and then the runner that held its runs restarts, once or several times: each new process waited 1.1 s for a claim and renewed the lease meanwhile, so the runs outlived the 1.3 s after which the caller hands its job in again at another gateway, and tasks ran twice at once.

Change: listings take no lease until all runs are claimed or stopped, and a claim may take 400 ms.

--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -86,7 +86,7 @@
         };
         Some(ListCall {
             fence,
-            lease_until_ms: runs.lease_until_ms(now),
+            lease_until_ms: runs.renewal_until_ms(now),
             settled: runs.settled(),
             wait_ms: wait.as_ms(),
             timeout_ms: wait.as_ms() + ANSWER_TIME.as_ms(),
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -36,6 +36,9 @@
     pub gateway_silence_ms: u64,
     /// How long an owner whose connection has closed may take to return, in milliseconds.
     pub return_ms: u64,
+    /// How long runs that an earlier process started may take to be claimed, in milliseconds: owners
+    /// that are there connect again within a few tenths of a second.
+    pub claim_ms: u64,
     /// Longest lease on the instance's clock, in milliseconds.
     pub lease_ms: u64,
     /// Longest time that an accepted stop takes, in milliseconds.
@@ -52,6 +55,7 @@
             leader_authority_ms: 2_000,
             gateway_silence_ms: 850,
             return_ms: 250,
+            claim_ms: 400,
             lease_ms: 1_000,
             stop_ms: 50,
             stop_patience_ms: 400,
@@ -279,6 +283,13 @@
         Some(clock_ms + self.settings.lease_ms)
     }
 
+    /// The end of the lease that a listing takes now. None is taken while something runs that nobody
+    /// has claimed: its owner may be gone, and however often this process is restarted, such a run
+    /// then ends with its last lease.
+    pub fn renewal_until_ms(&self, now: Instant) -> Option<u64> {
+        self.lease_until_ms(now).filter(|_| !self.has_unclaimed())
+    }
+
     /// The longest true time that a lease lasts.
     pub fn longest_lease(&self) -> DurationMs {
         DurationMs::new(self.settings.lease_ms * 1_000 / (1_000 - SLOW_CLOCK_PER_MILLE))
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -275,7 +275,7 @@
 
     /// Stops what an earlier process started and no owner has claimed in time.
     fn stop_unclaimed(&mut self, now: Instant) -> Vec<DriverCall> {
-        let patience = DurationMs::new(self.settings.gateway_silence_ms + self.settings.return_ms);
+        let patience = DurationMs::new(self.settings.claim_ms);
         match self.unclaimed_since {
             Some(since) if now > since + patience => {
                 self.unclaimed_since = None;
--- a/crates/hemlock_runs/tests/bench/mod.rs
+++ b/crates/hemlock_runs/tests/bench/mod.rs
@@ -92,7 +92,7 @@
     pub(crate) fn list_call(&self) -> ListCall {
         ListCall {
             fence: self.runs.fence(),
-            lease_until_ms: self.runs.lease_until_ms(self.now),
+            lease_until_ms: self.runs.renewal_until_ms(self.now),
             settled: self.runs.settled(),
             wait_ms: 0,
             timeout_ms: 100,
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -367,3 +367,19 @@
     let inventory = bench.attach(GATEWAY, 2, &[claim(1)]);
     assert_eq!(inventory.runs[0].end, None, "it goes on");
 }
+
+#[test]
+fn however_often_the_process_restarts_an_unclaimed_run_ends_with_its_last_lease() {
+    let mut bench = Bench::new();
+    bench.attach(GATEWAY, 1, &[]);
+    bench.start(GATEWAY, 1, 1, 6_000);
+    for restart in 1..=6 {
+        let model = bench.model;
+        let now = bench.now;
+        bench = Bench::unheard(model, FENCE + restart);
+        bench.now = now;
+        bench.list();
+        bench.live_ms(200);
+    }
+    assert!(bench.model.running().is_empty());
+}
--- a/crates/hemlock_runs/tests/world/mod.rs
+++ b/crates/hemlock_runs/tests/world/mod.rs
@@ -15,6 +15,8 @@
 const STEP_MS: u64 = 5;
 /// A caller that had no answer hands its job in again after this long, in milliseconds.
 const RESEND_MS: u64 = 1_300;
+/// Jobs that are handed in in a step: half of what the instances can do.
+const JOBS_PER_STEP: f64 = 0.06;
 const GATEWAYS: u64 = 3;
 const RUNNERS: u64 = 4;
 /// Time between two pings of a gateway, in milliseconds.
@@ -36,6 +38,15 @@
     }
 }
 
+/// How long the tasks of a job work, in milliseconds. Some outlast the time after which a caller
+/// hands its job in again.
+fn work_ms(id: JobId) -> u64 {
+    match id.0 % 11 {
+        0 => 2_000,
+        kind => 40 + kind * 25,
+    }
+}
+
 /// What travels between a gateway and a runner. A connection keeps its order.
 enum Message {
     Attach(SessionId, Vec<Claim>),
@@ -229,8 +240,9 @@
         self.next_job = next_job;
         assert!(
             self.open.is_empty() && self.again.is_empty(),
-            "jobs are left without an answer: {:?}",
-            self.open
+            "{} jobs are left without an answer, the first is {:?}",
+            self.open.len(),
+            self.open.first_key_value()
         );
     }
 
@@ -326,7 +338,7 @@
         for id in due {
             self.hand_in(id);
         }
-        if self.next_job != u64::MAX && self.rng.random_bool(0.12) {
+        if self.next_job != u64::MAX && self.rng.random_bool(JOBS_PER_STEP) {
             let id = JobId(self.next_job);
             self.next_job += 1;
             self.submitted += 1;
@@ -339,7 +351,7 @@
         let index = self.rng.random_range(0..GATEWAYS);
         let mut step = StepSpec::new(1 + (id.0 % 4) as u16);
         step.needs = needs();
-        step.estimate_ms = 60 + (id.0 % 7) * 40;
+        step.estimate_ms = work_ms(id);
         let spec = JobSpec::new(Bytes::new(), vec![step]).with_best_effort(true);
         let acceptance = Acceptance::new(id, "q", "s", 3, spec);
         let gateway = &mut self.gateways[index as usize];
@@ -363,7 +375,7 @@
             .running()
             .iter()
             .filter(|(task, run)| {
-                clock_ms >= run.began_ms + 40 + (task.job.0 % 7) * 40 + u64::from(task.index)
+                clock_ms >= run.began_ms + work_ms(task.job) + u64::from(task.index)
             })
             .map(|(task, _)| *task)
             .collect();
@@ -409,7 +421,7 @@
             runner.next_listing_ms = now_ms + LISTING_MS;
             let call = ListCall {
                 fence: runner.runs.fence(),
-                lease_until_ms: runner.runs.lease_until_ms(now),
+                lease_until_ms: runner.runs.renewal_until_ms(now),
                 settled: runner.runs.settled(),
                 wait_ms: 0,
                 timeout_ms: 100,
