--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -291,6 +291,7 @@
         answer: oneshot::Sender<Reply>,
     ) {
         let now = self.now;
+        self.note_instance(agent, instance.as_ref());
         let Some(dispatcher) = self.dispatcher.as_mut() else {
             reply(answer, Reply::NotLeader);
             return;
@@ -303,8 +304,7 @@
             draining = instance.as_ref().map(|i| i.draining),
             runs_lost,
         );
-        dispatcher.instance_changed(now, agent, session, instance.clone(), runs_lost);
-        self.note_instance(agent, instance.as_ref());
+        dispatcher.instance_changed(now, agent, session, instance, runs_lost);
         reply(answer, Reply::Done);
     }
 
