--- a/crates/hemlock_nodes/src/coordinator/mod.rs
+++ b/crates/hemlock_nodes/src/coordinator/mod.rs
@@ -6,6 +6,7 @@
 mod handle;
 mod input;
 mod peers;
+mod reads;
 mod requests;
 mod service;
 mod waiters;
--- /dev/null
+++ b/crates/hemlock_nodes/src/coordinator/reads.rs
@@ -0,0 +1,122 @@
+//! Answers that are given once this keeper is known to lead still.
+
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_quorum::prelude::*;
+
+use super::control::Control;
+use super::handle::ReadAnswer;
+use super::waiters::{ReadWaiter, reply};
+use crate::message::{CallerAnswer, JobState, Reply};
+
+impl Control {
+    pub(super) fn read(&mut self, waiter: ReadWaiter) {
+        match self.dispatcher {
+            Some(_) => self.reads.push(waiter),
+            None => self.refuse_read(waiter),
+        }
+    }
+
+    pub(super) fn flush_reads(&mut self) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let token = self.draw_token();
+        self.asked.insert(token, std::mem::take(&mut self.reads));
+        self.events.push(Event::ConfirmRead { token });
+    }
+
+    pub(super) fn read_done(&mut self, token: ProposalToken, leads: bool) {
+        for waiter in self.asked.remove(&token).unwrap_or_default() {
+            match leads && self.dispatcher.is_some() {
+                true => self.answer_read(waiter),
+                false => self.refuse_read(waiter),
+            }
+        }
+    }
+
+    fn answer_read(&mut self, waiter: ReadWaiter) {
+        let now = self.now;
+        match waiter {
+            ReadWaiter::JobState(id, answer) => reply(answer, Reply::Call(self.job_state(id))),
+            ReadWaiter::QueueCount(queue, answer) => {
+                let dispatcher = self.dispatcher.as_ref();
+                let count = dispatcher.map_or(0, |dispatcher| dispatcher.pending_jobs(&queue));
+                let count = CallerAnswer::PendingJobs(count as u64);
+                reply(answer, Reply::Call(count));
+            }
+            ReadWaiter::Known(known, answer) => reply(answer, Reply::Call(known)),
+            ReadWaiter::Configuration(answer) => {
+                let held = self.book.configuration();
+                let read = held.map_or(ReadAnswer::Empty, |held| {
+                    ReadAnswer::Document(held.document.clone())
+                });
+                // An operator that has gone asks again.
+                let _ = answer.send(read);
+            }
+            ReadWaiter::Watch(watcher) => {
+                let configuration = self.book.configuration();
+                let newer = configuration.filter(|held| held.version > watcher.configuration);
+                let version = self.book.agents_version();
+                let agents = (version != watcher.agents)
+                    .then(|| (version, self.book.agents().iter().copied().collect()));
+                let configuration = newer.cloned().map(Box::new);
+                reply(
+                    watcher.answer,
+                    Reply::Watched {
+                        configuration,
+                        agents,
+                    },
+                );
+            }
+            ReadWaiter::Ping(None, answer) => reply(answer, Reply::Done),
+            ReadWaiter::Ping(Some((agent, session)), answer) => {
+                let dispatcher = self.dispatcher.as_mut();
+                let holds = dispatcher.is_some_and(|d| d.confirm(now, agent, session));
+                reply(
+                    answer,
+                    if holds {
+                        Reply::Done
+                    } else {
+                        Reply::VoidSession
+                    },
+                );
+            }
+        }
+    }
+
+    fn job_state(&self, id: JobId) -> CallerAnswer {
+        let Some(record) = self.book.job(id) else {
+            return CallerAnswer::NoSuchJob;
+        };
+        let stage = self.dispatcher.as_ref().and_then(|d| d.stage(id));
+        CallerAnswer::State(match (record.outcome(), stage) {
+            (Some(outcome), _) => JobState::Ended(outcome),
+            (None, Some(JobStage::Active)) => JobState::Active,
+            (None, Some(JobStage::Pending) | None) => JobState::Pending,
+        })
+    }
+
+    fn refuse_read(&mut self, waiter: ReadWaiter) {
+        match waiter {
+            ReadWaiter::Configuration(answer) => {
+                // An operator that has gone asks again.
+                let _ = answer.send(ReadAnswer::NotLeader(self.other_leader()));
+            }
+            ReadWaiter::Watch(watcher) => reply(watcher.answer, Reply::NotLeader),
+            ReadWaiter::JobState(_, answer)
+            | ReadWaiter::QueueCount(_, answer)
+            | ReadWaiter::Known(_, answer)
+            | ReadWaiter::Ping(_, answer) => reply(answer, Reply::NotLeader),
+        }
+    }
+
+    /// Answers gateways for which something is new, or that have waited long enough.
+    pub(super) fn answer_watchers(&mut self) {
+        let configuration = self.book.configuration().map_or(0, |held| held.version);
+        let agents = self.book.agents_version();
+        for watcher in self.watchers.take_due(self.now, configuration, agents) {
+            self.read(ReadWaiter::Watch(watcher));
+        }
+    }
+}
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -9,7 +9,7 @@
 use tracing::{debug, info};
 
 use super::control::Control;
-use super::waiters::{AnswerGroup, CommandWaiter, ReadWaiter, adopted, reply};
+use super::waiters::{AnswerGroup, CommandWaiter, ReadWaiter, reply};
 use crate::message::{
     CallerAction, CallerAnswer, CallerRequest, Rejection, Reply, Report, Request,
 };
@@ -203,7 +203,7 @@
             runs = inventory.runs.len(),
             unwanted = adoption.stops.len(),
         );
-        self.record_ends(&adoption.ends, answer, adopted(adoption.stops));
+        self.record_ends(&adoption.ends, answer, Reply::Adopted(adoption.stops));
         self.note_instance(agent, inventory.instance.as_ref());
     }
 
--- a/crates/hemlock_nodes/src/coordinator/waiters.rs
+++ b/crates/hemlock_nodes/src/coordinator/waiters.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::{SessionId, StopOrder};
+use hemlock_dispatch::prelude::SessionId;
 use hemlock_jobs::prelude::{AgentId, JobId};
 use tokio::sync::oneshot;
 
@@ -93,8 +93,3 @@
 pub(super) fn reply(answer: oneshot::Sender<Reply>, value: Reply) {
     let _ = answer.send(value);
 }
-
-/// The answer that adopts a runner's runs.
-pub(super) fn adopted(stops: Vec<StopOrder>) -> Reply {
-    Reply::Adopted(stops)
-}
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -189,7 +189,8 @@
                     metrics::counter!("hemlock_runner_ends_total", "end" => end).increment(1);
                     metrics::histogram!("hemlock_runner_run_ms").record(ended.took_ms as f64);
                     info!(event = "run-ended", task = %ended.task, run = ended.run.0,
-                           owner = ?owner, end = ended.end.map(tracing::field::display));
+                           owner = ?owner, end = ended.end.map(tracing::field::display),
+                           took_ms = ended.took_ms);
                 }
                 RunOutcome::Refused(refused) => {
                     let reason = refused.reason.to_string();
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -52,7 +52,7 @@
         self.drop_queued_of(owner);
         let mut runs: Vec<RunReport> = Vec::new();
         for claim in claims {
-            runs.push(self.take_claim(now, owner, claim));
+            runs.push(self.take_claim(owner, claim));
         }
         let claimed = |task: &TaskKey| claims.iter().any(|claim| claim.task == *task);
         let others = self.table.iter();
@@ -69,7 +69,7 @@
         }
     }
 
-    fn take_claim(&mut self, now: Instant, owner: Owner, claim: &Claim) -> RunReport {
+    fn take_claim(&mut self, owner: Owner, claim: &Claim) -> RunReport {
         let (task, run) = (claim.task, claim.run);
         let entry = self.table.get(&task).copied();
         let running = entry.filter(|entry| entry.run == run);
@@ -100,7 +100,6 @@
             ended.settled = owner != Owner::Leader;
         }
         self.advance_settled();
-        let _ = now;
         let took_ms = 0;
         RunReport {
             task,
