Give up a silent instance only after its last lease, and hear it while a stop is stuck

Change: after 500 ms without an answer nothing more is started and no lease renewed; the instance is lost one longest lease after the last call that may have extended it, earlier processes' included. Listings go on while a stop is stuck.

--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -17,23 +17,13 @@
 const ANSWER_TIME: DurationMs = DurationMs::new(100);
 /// Pause while an end waits to be settled: the instance would repeat it at once.
 const UNSETTLED_PAUSE: DurationMs = DurationMs::new(10);
-/// Pause while there is nothing to list or no right to do so.
-const IDLE_PAUSE: DurationMs = DurationMs::new(100);
 /// Pause after an instance was found to be gone.
 const GONE_PAUSE: DurationMs = DurationMs::new(200);
-/// Silence beyond the longest lease after which nothing can run.
-const SILENCE_MARGIN: DurationMs = DurationMs::new(100);
-
 impl Runner {
     /// Renews leases and takes in ends. Never returns.
     pub(super) async fn keep_listing(self: &Rc<Self>) {
-        let mut answered_at = self.clock.now();
         loop {
-            let Some(call) = self.next_listing().await else {
-                answered_at = self.clock.now();
-                self.pause(IDLE_PAUSE).await;
-                continue;
-            };
+            let call = self.next_listing().await;
             let asked_at = self.clock.now();
             let answer = self.driver.list(call).await;
             let now = self.clock.now();
@@ -42,15 +32,11 @@
             }
             match answer {
                 Ok(listing) => {
-                    answered_at = asked_at;
                     self.take_listing(now, asked_at, &listing);
                 }
                 Err(ListFault::Unanswered) => {
-                    let longest = self.runs.borrow().longest_lease();
-                    let silent = now > answered_at + longest + SILENCE_MARGIN;
-                    if silent {
-                        self.lose_instance("silent");
-                    }
+                    let change = self.runs.borrow_mut().lose_silent_instance(now);
+                    self.tell_lost(change, "silent");
                 }
                 Err(ListFault::Gone) => {
                     self.lose_instance("gone");
@@ -68,29 +54,26 @@
         }
     }
 
-    /// The next call, once it is due; `None` when none may be made.
-    async fn next_listing(&self) -> Option<ListCall> {
+    /// The next call, once it is due.
+    async fn next_listing(&self) -> ListCall {
         if self.runs.borrow().has_unsettled_ends() {
             self.pause(UNSETTLED_PAUSE).await;
         }
-        let runs = self.runs.borrow();
+        let mut runs = self.runs.borrow_mut();
         let now = self.clock.now();
-        if !runs.may_renew(now) {
-            return None;
-        }
         let fence = runs.fence();
         let wait = match (runs.has_unsettled_ends(), runs.is_stopping()) {
             (true, _) => DurationMs::new(0),
             (false, true) => STOPPING_WAIT,
             (false, false) => WAIT,
         };
-        Some(ListCall {
+        ListCall {
             fence,
-            lease_until_ms: runs.renewal_until_ms(now),
+            lease_until_ms: runs.take_renewal(now),
             settled: runs.settled(),
             wait_ms: wait.as_ms(),
             timeout_ms: wait.as_ms() + ANSWER_TIME.as_ms(),
-        })
+        }
     }
 
     async fn pause(&self, span: DurationMs) {
@@ -107,6 +90,10 @@
 
     fn lose_instance(self: &Rc<Self>, cause: &'static str) {
         let change = self.runs.borrow_mut().instance_lost(self.clock.now());
+        self.tell_lost(change, cause);
+    }
+
+    fn tell_lost(self: &Rc<Self>, change: InstanceChange, cause: &'static str) {
         if change != InstanceChange::None {
             warn!(event = "instance-lost", cause);
         }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -72,6 +72,7 @@
     pub fn new(settings: RunnerSettings, driver: Rc<dyn InstanceDriver>) -> Rc<Self> {
         let identity = Rc::new(settings.identity);
         Rc::new_cyclic(|runner| {
+            let clock = SystemClock::start();
             let service = Rc::new(RunnerService::new(runner.clone()));
             let as_service: Rc<dyn Service> = Rc::clone(&service) as Rc<dyn Service>;
             Self {
@@ -81,10 +82,10 @@
                 service,
                 connector: Connector::new(identity, as_service, settings.seeds),
                 driver,
-                runs: RefCell::new(Runs::new(settings.runs, settings.fence)),
+                runs: RefCell::new(Runs::new(settings.runs, settings.fence, clock.now())),
                 gateways: Gateways::default(),
                 leader_adopted: Cell::new(false),
-                clock: SystemClock::start(),
+                clock,
                 listing_due: Notify::new(),
                 room_changed: Notify::new(),
                 tasks: TaskSet::default(),
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -9,7 +9,7 @@
 //! use hemlock_runs::prelude::*;
 //! use hemlock_types::prelude::*;
 //!
-//! let runs = Runs::new(RunsSettings::default(), 1);
+//! let runs = Runs::new(RunsSettings::default(), 1, Instant::ZERO);
 //! assert!(runs.may_renew(Instant::ZERO));
 //! ```
 
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -23,6 +23,8 @@
 /// Runs that should be shorter count as being this long when their pace is judged, because what
 /// hearing of their ends takes would make them look slow.
 const SHORT_RUN_MS: u64 = 50;
+/// Added to the longest lease before what it covers is taken to be over, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 50;
 /// How far a fencing number is raised when a higher one has been seen.
 const FENCE_STEP: u64 = 60_000;
 
@@ -39,6 +41,9 @@
     /// How long runs that an earlier process started may take to be claimed, in milliseconds: owners
     /// that are there connect again within a few tenths of a second.
     pub claim_ms: u64,
+    /// How long the instance may leave listings unanswered before leases aren't renewed any more, in
+    /// milliseconds.
+    pub answer_patience_ms: u64,
     /// Longest lease on the instance's clock, in milliseconds.
     pub lease_ms: u64,
     /// Longest time that an accepted stop takes, in milliseconds.
@@ -56,6 +61,7 @@
             gateway_silence_ms: 850,
             return_ms: 250,
             claim_ms: 400,
+            answer_patience_ms: 500,
             lease_ms: 1_000,
             stop_ms: 50,
             stop_patience_ms: 400,
@@ -172,12 +178,16 @@
     unclaimed_since: Option<Instant>,
     /// Whether it is known what earlier processes left running.
     runs_known: bool,
+    /// When the last listing was asked for that was answered.
+    answered_at: Instant,
+    /// When the last call was made that may have extended the lease, answered or not.
+    leased_at: Instant,
 }
 
 impl Runs {
     /// No instance, no owners, no runs. `fence` must be higher than that of any earlier process
-    /// beside the instance.
-    pub fn new(settings: RunsSettings, fence: u64) -> Self {
+    /// beside the instance, which may have renewed leases until `now`.
+    pub fn new(settings: RunsSettings, fence: u64, now: Instant) -> Self {
         Self {
             settings,
             fence,
@@ -200,6 +210,8 @@
             stop_retries: BTreeSet::new(),
             unclaimed_since: None,
             runs_known: false,
+            answered_at: now,
+            leased_at: now,
         }
     }
 
@@ -283,11 +295,31 @@
         Some(clock_ms + self.settings.lease_ms)
     }
 
-    /// The end of the lease that a listing takes now. None is taken while something runs that nobody
-    /// has claimed: its owner may be gone, and however often this process is restarted, such a run
-    /// then ends with its last lease.
-    pub fn renewal_until_ms(&self, now: Instant) -> Option<u64> {
-        self.lease_until_ms(now).filter(|_| !self.has_unclaimed())
+    /// The end of the lease that a listing takes now. None is taken while a stop has no effect, while
+    /// the instance doesn't answer, and while something runs that nobody has claimed: its owner may be gone, and however often this
+    /// process is restarted, such a run then ends with its last lease.
+    pub fn take_renewal(&mut self, now: Instant) -> Option<u64> {
+        let may_renew = self.may_renew(now) && !self.has_unclaimed() && self.is_answering(now);
+        let until_ms = self.lease_until_ms(now).filter(|_| may_renew)?;
+        self.leased_at = now;
+        Some(until_ms)
+    }
+
+    /// Whether the instance has answered lately. One that doesn't may carry out all the same what it
+    /// is told, so nothing more is started there and no lease renewed until it answers.
+    fn is_answering(&self, now: Instant) -> bool {
+        now <= self.answered_at + DurationMs::new(self.settings.answer_patience_ms)
+    }
+
+    /// Notes that an instance is lost that has not answered for longer than any lease lasts that
+    /// may have been extended.
+    pub fn lose_silent_instance(&mut self, now: Instant) -> InstanceChange {
+        let margin = DurationMs::new(self.settings.stop_ms + LEASE_MARGIN_MS);
+        let lapsed = now > self.leased_at + self.longest_lease() + margin;
+        match lapsed && !self.is_answering(now) {
+            true => self.instance_lost(now),
+            false => InstanceChange::None,
+        }
     }
 
     /// The longest true time that a lease lasts.
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -28,6 +28,7 @@
         let first = !self.reachable;
         self.reachable = true;
         self.runs_known = true;
+        self.answered_at = self.answered_at.max(asked_at);
         self.note_ends(now, listing);
         let mut calls = match first {
             true => {
--- a/crates/hemlock_runs/tests/bench/mod.rs
+++ b/crates/hemlock_runs/tests/bench/mod.rs
@@ -70,7 +70,7 @@
     pub(crate) fn unheard(model: InstanceModel, fence: u64) -> Self {
         Self {
             now: Instant::from_ms(1_000),
-            runs: Runs::new(RunsSettings::default(), fence),
+            runs: Runs::new(RunsSettings::default(), fence, Instant::from_ms(1_000)),
             model,
             sequence: 0,
             beats: 0,
@@ -89,10 +89,10 @@
         self.runs.beat(self.now, beat)
     }
 
-    pub(crate) fn list_call(&self) -> ListCall {
+    pub(crate) fn list_call(&mut self) -> ListCall {
         ListCall {
             fence: self.runs.fence(),
-            lease_until_ms: self.runs.renewal_until_ms(self.now),
+            lease_until_ms: self.runs.take_renewal(self.now),
             settled: self.runs.settled(),
             wait_ms: 0,
             timeout_ms: 100,
@@ -166,9 +166,7 @@
             self.advance_ms(50);
             let calls = self.runs.tick(self.now);
             self.carry_out(calls);
-            if self.runs.may_renew(self.now) {
-                self.list();
-            }
+            self.list();
         }
     }
 }
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -295,8 +295,16 @@
         .runs
         .stop_answered(bench.now, &lost, StopResult::Unanswered);
     assert!(bench.runs.may_renew(bench.now));
+    bench.start(GATEWAY, 1, 2, 6_000);
     bench.advance_ms(401);
     assert!(!bench.runs.may_renew(bench.now));
+    assert_eq!(bench.runs.take_renewal(bench.now), None);
+    // Ends are heard of all the same.
+    bench.runs.take_outbox();
+    bench.model.end(task(2), RunEnd::Done);
+    bench.list();
+    let outcomes = bench.runs.take_outbox();
+    assert_eq!(ended(&outcomes), vec![(task(2), Some(RunEnd::Done))]);
 }
 
 #[test]
@@ -383,3 +391,24 @@
     }
     assert!(bench.model.running().is_empty());
 }
+
+#[test]
+fn an_instance_that_carries_out_calls_without_answering_is_lost_only_after_its_last_lease() {
+    let mut bench = Bench::new();
+    bench.attach(GATEWAY, 1, &[]);
+    bench.start(GATEWAY, 1, 1, 6_000);
+    // Listings are carried out, and their answers are lost.
+    for _ in 0..100 {
+        bench.advance_ms(50);
+        let call = bench.list_call();
+        bench.model.list(&call).expect("the fence is the highest");
+        if bench.runs.lose_silent_instance(bench.now) != InstanceChange::None {
+            assert!(
+                bench.model.running().is_empty(),
+                "it was called over while it ran"
+            );
+            return;
+        }
+    }
+    panic!("the instance is never given up");
+}
--- a/crates/hemlock_runs/tests/world/mod.rs
+++ b/crates/hemlock_runs/tests/world/mod.rs
@@ -84,7 +84,8 @@
     next_listing_ms: u64,
     next_beat_ms: u64,
     beats: u64,
-    heard_at: Instant,
+    /// Until when the instance carries out what it is told and answers nothing.
+    mute_until_ms: u64,
     /// Calls whose answers were lost, which are carried out later.
     late: Vec<(u64, DriverCall)>,
 }
@@ -195,12 +196,12 @@
     fn new_runner(&mut self, model: InstanceModel) -> Runner {
         let fence = self.draw_life();
         Runner {
-            runs: Runs::new(RunsSettings::default(), fence),
+            runs: Runs::new(RunsSettings::default(), fence, self.now()),
             model,
             next_listing_ms: 0,
             next_beat_ms: 0,
             beats: 0,
-            heard_at: self.now(),
+            mute_until_ms: 0,
             late: Vec::new(),
         }
     }
@@ -402,7 +403,14 @@
     fn step_runner(&mut self, index: u64) {
         let now = self.now();
         let now_ms = self.now_ms;
-        let answer_lost = self.chance(20);
+        // Rarer than other faults, since it lasts.
+        let begins_mute = self.chance(2) && self.chance(150);
+        let mute_ms = self.rng.random_range(200..4_000);
+        if begins_mute {
+            self.runners[index as usize].mute_until_ms = self.now_ms + mute_ms;
+        }
+        let mute = self.faults && self.now_ms < self.runners[index as usize].mute_until_ms;
+        let answer_lost = mute || self.chance(20);
         let runner = &mut self.runners[index as usize];
         if now_ms >= runner.next_beat_ms {
             runner.next_beat_ms = now_ms + 500;
@@ -417,23 +425,25 @@
         }
         let runner = &mut self.runners[index as usize];
         let mut calls = runner.runs.tick(now);
-        if now_ms >= runner.next_listing_ms && runner.runs.may_renew(now) {
+        if now_ms >= runner.next_listing_ms {
             runner.next_listing_ms = now_ms + LISTING_MS;
             let call = ListCall {
                 fence: runner.runs.fence(),
-                lease_until_ms: runner.runs.renewal_until_ms(now),
+                lease_until_ms: runner.runs.take_renewal(now),
                 settled: runner.runs.settled(),
                 wait_ms: 0,
                 timeout_ms: 100,
             };
             match runner.model.list(&call) {
                 Ok(listing) if !answer_lost => {
-                    runner.heard_at = now;
                     let (change, more) = runner.runs.take_listing(now, now, &listing);
                     calls.extend(more);
                     self.tell_instance(index, change);
                 }
-                Ok(_) => {}
+                Ok(_) => {
+                    let change = runner.runs.lose_silent_instance(now);
+                    self.tell_instance(index, change);
+                }
                 Err(ListFault::Fenced) => runner.runs.raise_fence(),
                 Err(_) => {}
             }
@@ -445,7 +455,8 @@
     fn make_calls(&mut self, index: u64, calls: Vec<DriverCall>) {
         let now = self.now();
         for call in calls {
-            let late = self.chance(30);
+            let mute = self.faults && self.now_ms < self.runners[index as usize].mute_until_ms;
+            let late = !mute && self.chance(30);
             let carried_out_ms = self.now_ms + self.rng.random_range(100..6_000);
             let runner = &mut self.runners[index as usize];
             let follow_up = match call {
@@ -464,6 +475,19 @@
                         }
                     }
                 }
+                DriverCall::Start(call) if mute => {
+                    runner.model.start(&call);
+                    runner
+                        .runs
+                        .start_answered(now, &call, StartResult::Unanswered)
+                }
+                DriverCall::Stop(call) if mute => {
+                    runner.model.stop(&call);
+                    runner
+                        .runs
+                        .stop_answered(now, &call, StopResult::Unanswered);
+                    None
+                }
                 DriverCall::Start(call) => {
                     let result = runner.model.start(&call);
                     runner.runs.start_answered(now, &call, result)
