Compute the longest lease of a slow clock in one place

Cause: the dispatcher's expiry and the agent's table of runs each had the share of time that a slow clock may lose, and the formula. If one of them were changed alone, a task could be taken for ended while its run is alive.

Change: longest_lease in hemlock_dispatch serves both.

Conclusion: no change of behaviour.

--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -30,6 +30,6 @@
         EndVerdict, Inventory, Order, RefusalReason, Room, RunEnd, RunReport, SessionId,
         StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
     };
-    pub use crate::settings::{CapacityView, DispatchSettings};
+    pub use crate::settings::{CapacityView, DispatchSettings, longest_lease};
     pub use hemlock_jobs::prelude::{InstanceId, InstanceReport};
 }
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -51,7 +51,12 @@
 impl DispatchSettings {
     /// Time from an agent's last confirmation until none of its runs can be alive.
     pub fn expiry(&self) -> DurationMs {
-        let lease_ms = self.lease_ms * 1_000 / (1_000 - SLOW_CLOCK_PER_MILLE);
+        let lease_ms = longest_lease(self.lease_ms).as_ms();
         DurationMs::new(self.authority_ms + lease_ms + self.margin_ms)
     }
 }
+
+/// The longest true time that a lease of `lease_ms` on an instance's clock lasts.
+pub fn longest_lease(lease_ms: u64) -> DurationMs {
+    DurationMs::new(lease_ms * 1_000 / (1_000 - SLOW_CLOCK_PER_MILLE))
+}
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -11,6 +11,7 @@
 
 use hemlock_dispatch::prelude::{
     InstanceId, InstanceReport, RefusalReason, Room, RunEnd, RunReport, SessionId, URGENCY_LEVELS,
+    longest_lease,
 };
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
@@ -18,8 +19,6 @@
 use crate::driver::{StartCall, StopCall};
 use crate::entry::{Entry, Owner, Phase, QueuePlace, QueuedStart};
 
-/// Per mille of true time that an instance's clock may lose.
-const SLOW_CLOCK_PER_MILLE: u64 = 20;
 /// Runs that should be shorter count as being this long when their pace is judged, because what
 /// hearing of their ends takes would make them look slow.
 const SHORT_RUN_MS: u64 = 50;
@@ -324,7 +323,7 @@
 
     /// The longest true time that a lease lasts.
     pub fn longest_lease(&self) -> DurationMs {
-        DurationMs::new(self.settings.lease_ms * 1_000 / (1_000 - SLOW_CLOCK_PER_MILLE))
+        longest_lease(self.settings.lease_ms)
     }
 
     /// Takes what owners must be told.
