Let runs that were ordered after a loss go on when the loss is told late

Cause: a runner that gives up its instance tells each lapsed run, and in a message behind them that the instance has lost its runs. A gateway that had ordered a task's next run at the same runner between the two took that run for lost as well and started the task elsewhere. The runner had accepted the order: the task ran twice at once. Ruled out: leases that count from the arrival of a late grant.

Change: a changed instance ends no run by itself; each end is reported already. The random runs deliver the change as a message behind the ends, as the processes do, instead of closing the connections, and are three times as long.

--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -162,7 +162,8 @@
     }
 
     /// Notes what the agent says of its instance, and whether everything that ran there before is
-    /// over.
+    /// over. The agent reports each of those runs by itself: an order that crossed this message may
+    /// have started others since.
     pub fn instance_changed(
         &mut self,
         now: Instant,
@@ -178,7 +179,6 @@
         agent.instance = instance;
         if runs_lost {
             agent.health = Default::default();
-            self.lose_runs(id);
         }
         self.placement_due = true;
     }
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -127,3 +127,31 @@
     let at = |agent| placed.iter().filter(|(at, _)| *at == agent).count();
     assert_eq!((at(0), at(1)), (3, 2));
 }
+
+#[test]
+fn a_run_ordered_before_its_gateway_hears_that_earlier_ones_are_lost_goes_on() {
+    let mut gateway = Gateway::new(1);
+    gateway.tell(0, 2, [0; URGENCY_LEVELS]);
+    gateway.submit("later", 1, job(1, 6_000, 900));
+    assert_eq!(gateway.poll().len(), 1);
+
+    // The runner tells of the lapsed run first, and of the changed instance in a message behind it.
+    let (agent, session, now) = (AgentId(0), gateway.sessions[0], gateway.now);
+    let lapsed = RunReport {
+        task: task(1, 0),
+        run: RunNumber(1),
+        end: Some(RunEnd::Lapsed),
+        took_ms: 100,
+    };
+    gateway.dispatcher.report_end(now, agent, session, lapsed);
+    assert_eq!(gateway.poll(), vec![(0, task(1, 0))], "the second run");
+
+    let instance = Some(fixture::instance(0));
+    gateway
+        .dispatcher
+        .instance_changed(now, agent, session, instance, true);
+    assert_eq!(gateway.poll(), vec![], "no third run beside the second");
+    let known = gateway.dispatcher.runs_of(agent).into_iter();
+    let known: Vec<_> = known.map(|(task, run, _)| (task, run)).collect();
+    assert_eq!(known, vec![(task(1, 0), RunNumber(2))]);
+}
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -223,6 +223,6 @@
 pub struct InstanceNews {
     /// The instance, while it is there.
     pub instance: Option<InstanceReport>,
-    /// Whether what ran before is over.
+    /// Whether what ran before is over. Each end is reported by itself.
     pub runs_lost: bool,
 }
--- a/crates/hemlock_runs/tests/random_runs.rs
+++ b/crates/hemlock_runs/tests/random_runs.rs
@@ -8,7 +8,7 @@
 use world::World;
 
 /// Steps of 5 ms for one seed.
-const STEPS: u64 = 4_000;
+const STEPS: u64 = 12_000;
 /// Seeds that every run plays.
 const SEEDS: u64 = 24;
 
--- a/crates/hemlock_runs/tests/world/mod.rs
+++ b/crates/hemlock_runs/tests/world/mod.rs
@@ -56,6 +56,8 @@
     Ping(SessionId),
     Pong(SessionId, Room),
     News(SessionId, Vec<RunOutcome>, Room),
+    /// The instance as it is now, and whether what ran there is over.
+    Instance(SessionId, Option<InstanceReport>, bool),
 }
 
 /// One connection between a gateway and a runner.
@@ -502,11 +504,21 @@
         }
     }
 
+    /// Tells all gateways of a changed instance, behind the ends that the change has brought about.
     fn tell_instance(&mut self, index: u64, change: InstanceChange) {
-        // A gateway that attaches anew learns all of it.
-        if change != InstanceChange::None {
-            for gateway in 0..GATEWAYS {
-                self.cut((gateway, index));
+        let runs_lost = match change {
+            InstanceChange::None => return,
+            InstanceChange::Updated => false,
+            InstanceChange::RunsLost => true,
+        };
+        self.tell_outcomes(index);
+        for gateway in 0..GATEWAYS {
+            let owner = Owner::Gateway(self.gateways[gateway as usize].life);
+            let runs = &self.runners[index as usize].runs;
+            let instance = runs.instance().cloned();
+            if let Some(session) = runs.session(owner) {
+                let news = Message::Instance(session, instance, runs_lost);
+                self.send((gateway, index), false, news);
             }
         }
     }
@@ -694,6 +706,10 @@
                 let gateway = &mut self.gateways[key.0 as usize];
                 gateway.dispatcher.room_reported(now, agent, session, room);
             }
+            Message::Instance(session, instance, runs_lost) => {
+                let dispatcher = &mut gateway.dispatcher;
+                dispatcher.instance_changed(now, agent, session, instance, runs_lost);
+            }
             _ => unreachable!("runners send nothing else"),
         }
     }
