Make calls to an instance again while their answer is missing

Cause: a start whose answer is lost was waited for during 120 ms, then stopped, and its task was placed again after a listing; a lost stop held up all renewals and starts there. With a fifth of all orders lost almost every job of eight tasks met one of these.

Start lines in the log tell how long the answer took.

Lost listings still hide ends for 125 ms.

--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -16,6 +16,7 @@
 mod connector;
 pub mod coordinator;
 pub mod gateway;
+pub mod hedge;
 pub mod message;
 pub mod runner;
 pub mod task_set;
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -19,6 +19,7 @@
 use tracing::info;
 
 use crate::connector::{Connector, Seeds};
+use crate::hedge::HedgedDriver;
 use crate::message::{Reply, Report, Request};
 use crate::task_set::TaskSet;
 use gateways::Gateways;
@@ -54,7 +55,7 @@
     identity: Rc<Identity>,
     service: Rc<RunnerService>,
     connector: Connector,
-    driver: Rc<dyn InstanceDriver>,
+    driver: HedgedDriver,
     runs: RefCell<Runs>,
     gateways: Gateways,
     /// Whether the leader knows what runs, so that it may be told what changes.
@@ -81,7 +82,7 @@
                 identity: Rc::clone(&identity),
                 service,
                 connector: Connector::new(identity, as_service, settings.seeds),
-                driver,
+                driver: HedgedDriver::new(driver),
                 runs: RefCell::new(Runs::new(settings.runs, settings.fence, clock.now())),
                 gateways: Gateways::default(),
                 leader_adopted: Cell::new(false),
@@ -262,7 +263,7 @@
                 let took_ms = self.clock.now().since(asked_at).as_ms() as f64;
                 metrics::histogram!("hemlock_runner_start_ms").record(took_ms);
                 info!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
-                       result = ?result);
+                       took_ms, result = ?result);
                 let now = self.clock.now();
                 let follow_up = self.runs.borrow_mut().start_answered(now, &call, result);
                 self.tell_outcomes();
