Let listings wait 20 ms while something runs

Cause: a lost listing hid all ends at its instance for 125 ms, and with them the room that they free.

Change: an instance on which something runs answers after 20 ms at the latest; an idle one still after 100 ms.

--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -8,11 +8,11 @@
 
 use super::Runner;
 
-/// How long the instance may wait for an end. A lost answer hides all ends for this time and the
-/// next, which holds up the work that waits for their room.
-const WAIT: DurationMs = DurationMs::new(100);
-/// How long it may wait while a stop is due to take effect.
-const STOPPING_WAIT: DurationMs = DurationMs::new(30);
+/// How long an instance on which nothing runs may wait before it answers.
+const IDLE_WAIT: DurationMs = DurationMs::new(100);
+/// How long an instance may wait for the end of what runs. A lost answer hides all ends for this
+/// time, which holds up the work that waits for their room; a busy instance has an end every 20 ms.
+const BUSY_WAIT: DurationMs = DurationMs::new(20);
 /// Time beyond the wait after which a listing counts as unanswered.
 const ANSWER_TIME: DurationMs = DurationMs::new(100);
 /// Pause while an end waits to be settled: the instance would repeat it at once.
@@ -62,10 +62,10 @@
         let mut runs = self.runs.borrow_mut();
         let now = self.clock.now();
         let fence = runs.fence();
-        let wait = match (runs.has_unsettled_ends(), runs.is_stopping()) {
-            (true, _) => DurationMs::new(0),
-            (false, true) => STOPPING_WAIT,
-            (false, false) => WAIT,
+        let wait = match runs.running() {
+            _ if runs.has_unsettled_ends() => DurationMs::new(0),
+            0 => IDLE_WAIT,
+            _ => BUSY_WAIT,
         };
         ListCall {
             fence,
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -266,12 +266,6 @@
         !self.ends.is_empty()
     }
 
-    /// Whether a stop waits for its effect.
-    pub fn is_stopping(&self) -> bool {
-        let stopping = |entry: &Entry| matches!(entry.phase, Phase::Stopping { .. });
-        self.table.values().any(stopping)
-    }
-
     /// Whether leases may be renewed. A stop that has no effect can only be enforced by letting the
     /// leases run out.
     pub fn may_renew(&self, now: Instant) -> bool {
