Ask all keepers side by side for the leader, with short attempts to connect

Cause: after all power was lost, gateways connected to the leader 0.17 to 0.25 s after its election. A round of questions ended only when every keeper had answered or run into its 0.7 s, and a first packet sent to a machine that is still down is repeated only after a second; coordinators waited 0.5 s for each other, gateways 0.4 s for runners.

Change: each known keeper is asked by itself, over one connection, until one leads.

The election itself still takes 0.5 s after a majority runs.

--- a/crates/hemlock_nodes/src/connector.rs
+++ b/crates/hemlock_nodes/src/connector.rs
@@ -11,14 +11,18 @@
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
 use tokio::sync::watch;
+use tokio::time::Instant as RuntimeInstant;
 
 use crate::address::keeper_address;
+use crate::connect_timeouts::ConnectTimeouts;
 use crate::message::{Reply, Request};
 
-/// Time to connect to a keeper and to hear who leads.
+/// Time to hear who leads.
 const ASK_TIMEOUT: DurationMs = DurationMs::new(700);
-/// Pause between two rounds of asking.
-const ASK_PAUSE: DurationMs = DurationMs::new(80);
+/// Pause before a keeper is asked again: little against the time that an election takes.
+const ASK_PAUSE: DurationMs = DurationMs::new(30);
+/// Time between two readings of the settings while no leader is found.
+const SEEDS_PERIOD: DurationMs = DurationMs::new(500);
 /// Most keepers that are remembered besides those of the settings.
 const MAX_LEARNT: usize = 16;
 
@@ -86,49 +90,67 @@
     }
 
     /// Finds the leader and returns the connection, which ends when it is dropped.
+    ///
+    /// All known keepers are asked side by side, so that one that is down holds up nothing.
     pub(crate) async fn connect(&self) -> Connection {
+        let mut asked = BTreeSet::new();
+        let mut asking = FuturesUnordered::new();
+        let mut seeds_read: Option<RuntimeInstant> = None;
         loop {
-            if let Some(connection) = self.ask_all().await {
+            let now = RuntimeInstant::now();
+            let learnt = self.learnt.borrow();
+            let mut addresses: BTreeSet<SocketAddr> =
+                learnt.iter().map(|id| keeper_address(*id)).collect();
+            drop(learnt);
+            if seeds_read.is_none_or(|read| now >= read + SEEDS_PERIOD.as_std()) {
+                addresses.extend((self.seeds)());
+                seeds_read = Some(now);
+            }
+            let unasked = addresses
+                .into_iter()
+                .filter(|address| asked.insert(*address));
+            asking.extend(unasked.map(|address| self.ask_until_leading(address)));
+            let next = tokio::time::timeout(ASK_PAUSE.as_std(), asking.next()).await;
+            if let Ok(Some(connection)) = next {
                 self.leader.send_replace(Some(connection.link.clone()));
                 return connection;
             }
-            tokio::time::sleep(ASK_PAUSE.as_std()).await;
         }
     }
 
-    /// Asks all known keepers at once; the first that leads is taken.
-    async fn ask_all(&self) -> Option<Connection> {
-        let mut addresses: BTreeSet<SocketAddr> = (self.seeds)().into_iter().collect();
-        addresses.extend(self.learnt.borrow().iter().map(|id| keeper_address(*id)));
-        let asked = addresses.into_iter().map(|address| self.ask(address));
-        let mut answers: FuturesUnordered<_> = asked.collect();
-        while let Some(answer) = answers.next().await {
-            if answer.is_some() {
-                return answer;
+    /// Asks one keeper until it leads.
+    async fn ask_until_leading(&self, address: SocketAddr) -> Connection {
+        let mut timeouts = ConnectTimeouts::default();
+        loop {
+            let identity = Rc::clone(&self.identity);
+            let service = Rc::clone(&self.service);
+            // A keeper that can't be reached is as good as one that doesn't lead.
+            match connect(address, identity, service, timeouts.next_timeout()).await {
+                Ok(connection) if self.leads_at_last(&connection.link).await => return connection,
+                Ok(_) | Err(_) => tokio::time::sleep(ASK_PAUSE.as_std()).await,
             }
         }
-        None
     }
 
-    async fn ask(&self, address: SocketAddr) -> Option<Connection> {
-        let identity = Rc::clone(&self.identity);
-        let service = Rc::clone(&self.service);
-        // A keeper that can't be reached is as good as one that doesn't lead.
-        let connection = connect(address, identity, service, ASK_TIMEOUT)
-            .await
-            .ok()?;
-        let answer = connection.link.call::<_, Reply>(&Request::WhoLeads);
-        let answer = tokio::time::timeout(ASK_TIMEOUT.as_std(), answer).await;
-        match answer {
-            Ok(Ok(Reply::Leads {
+    /// Asks over one connection whether the keeper leads, until it does; false once it doesn't
+    /// answer.
+    async fn leads_at_last(&self, link: &Link) -> bool {
+        loop {
+            let answer = link.call::<_, Reply>(&Request::WhoLeads);
+            let answer = tokio::time::timeout(ASK_TIMEOUT.as_std(), answer).await;
+            let Ok(Ok(Reply::Leads {
                 here,
                 members,
                 leader,
-            })) => {
-                self.learn(members.into_iter().chain(leader));
-                here.then_some(connection)
+            })) = answer
+            else {
+                return false;
+            };
+            self.learn(members.into_iter().chain(leader));
+            if here {
+                return true;
             }
-            Ok(_) | Err(_) => None,
+            tokio::time::sleep(ASK_PAUSE.as_std()).await;
         }
     }
 
--- a/crates/hemlock_nodes/src/coordinator/peers.rs
+++ b/crates/hemlock_nodes/src/coordinator/peers.rs
@@ -12,11 +12,10 @@
 use tokio::task::JoinHandle;
 
 use crate::address::keeper_address;
+use crate::connect_timeouts::ConnectTimeouts;
 use crate::message::{Reply, Request};
 use crate::task_set::TaskSet;
 
-/// Time for a connection to open.
-const CONNECT_TIMEOUT: DurationMs = DurationMs::new(500);
 /// Pause after a failure to connect.
 const CONNECT_PAUSE: DurationMs = DurationMs::new(50);
 /// Time after which a message without an answer shows that the connection is dead.
@@ -80,12 +79,13 @@
     service: Rc<dyn Service>,
     mut messages: mpsc::Receiver<Message>,
 ) {
+    let mut timeouts = ConnectTimeouts::default();
     loop {
         let opening = connect(
             address,
             Rc::clone(&identity),
             Rc::clone(&service),
-            CONNECT_TIMEOUT,
+            timeouts.next_timeout(),
         );
         match opening.await {
             Ok(connection) => carry(connection, &mut messages).await,
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -16,14 +16,13 @@
 
 use super::Gateway;
 use crate::address::keeper_address;
+use crate::connect_timeouts::ConnectTimeouts;
 use crate::message::{Report, RunnerReply, RunnerRequest};
 
-/// Time for a connection to open.
-const CONNECT_TIMEOUT: DurationMs = DurationMs::new(400);
 /// Pause after a failure to connect, at first.
 const CONNECT_PAUSE_MIN: DurationMs = DurationMs::new(50);
 /// Pause after many failures to connect.
-const CONNECT_PAUSE_MAX: DurationMs = DurationMs::new(800);
+const CONNECT_PAUSE_MAX: DurationMs = DurationMs::new(200);
 /// Time between two pings. A runner serves a gateway that it doesn't hear for three times as long.
 const PING_PERIOD: DurationMs = DurationMs::new(250);
 /// Time after which a request without an answer shows that the connection is dead.
@@ -116,10 +115,11 @@
         // An agent's id is the address that it listens on, as a keeper's is.
         let address = keeper_address(KeeperId(agent.0));
         let mut pause = CONNECT_PAUSE_MIN;
+        let mut timeouts = ConnectTimeouts::default();
         loop {
             let identity = Rc::clone(&self.identity);
             let service = Rc::clone(&self.service);
-            match connect(address, identity, service, CONNECT_TIMEOUT).await {
+            match connect(address, identity, service, timeouts.next_timeout()).await {
                 Ok(connection) => {
                     pause = CONNECT_PAUSE_MIN;
                     self.hold_session(agent, &connection, &current).await;
--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod address;
+pub mod connect_timeouts;
 mod connector;
 pub mod coordinator;
 pub mod gateway;
