Settle ends that nobody claims, and take no hidden end for a lapsed run

Cause: after a restart of a runner, a run that ended before its owner had claimed it and after the leader had taken over was told to nobody and stayed unsettled. The instance repeats unsettled ends, the oldest 500 first; behind 500 of them it named no further end, and every run that vanished from its list counted as lapsed though it was done. Without any leader the same could happen.

Change: an end without an owner is told to the leader, which settles it. Runs whose ends need no record have even numbers, so that a runner settles their ends by itself, with or without a leader. A listing tells whether it names all ends; if not, no run counts as over because it is missing. The model of an instance lists 500 ends at most, as instances do.

Tests: three new ones in hemlock_runs fail before; the random runs failed with the first part of the change alone (no leader there). The tests that expected run numbers 1 and 2 now expect the exact odd or even ones: the numbering is what changed.

--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -177,7 +177,10 @@
             0..MAX_STALLS => (estimate_ms * STALL_FACTOR).max(STALL_MIN_MS),
             _ => 0,
         };
-        let run = task.last_run.next();
+        let run = match self.settings.records_ends {
+            true => task.last_run.next_recorded(),
+            false => task.last_run.next_unrecorded(),
+        };
         task.last_run = run;
         job.set_state(key, TaskState::Running(id, run));
         job.started = true;
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -19,6 +19,8 @@
 pub struct DispatchSettings {
     /// How it knows what instances have left.
     pub capacity: CapacityView,
+    /// Whether the ends of its runs must be recorded before their instances forget them.
+    pub records_ends: bool,
     /// How long an agent may act on a confirmation, counted from its request, in milliseconds.
     pub authority_ms: u64,
     /// Longest lease of a run on the instance's clock, in milliseconds.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Self {
             capacity: CapacityView::Own,
+            records_ends: true,
             authority_ms: 2_000,
             lease_ms: 1_000,
             margin_ms: 250,
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -35,7 +35,7 @@
     world.end(first, task(1, 0), 1, RunEnd::Failed);
     let (second, start) = world.poll()[0].clone();
     assert_ne!(first, second);
-    assert_eq!(start.run, RunNumber(2));
+    assert_eq!(start.run, RunNumber(1).next_recorded());
 }
 
 #[test]
@@ -184,7 +184,7 @@
     world.advance_others_ms(silent, 100);
     let (other, start) = world.poll()[0].clone();
     assert_ne!(other, silent);
-    assert_eq!(start.run, RunNumber(2));
+    assert_eq!(start.run, RunNumber(1).next_recorded());
 }
 
 #[test]
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -21,6 +21,7 @@
         let book = fixture::book(vec![queue("urgent", 0), queue("later", 2)]);
         let settings = DispatchSettings {
             capacity: CapacityView::Shared,
+            records_ends: false,
             ..DispatchSettings::default()
         };
         let mut dispatcher = Dispatcher::new(now, settings, &book);
@@ -137,9 +138,10 @@
 
     // The runner tells of the lapsed run first, and of the changed instance in a message behind it.
     let (agent, session, now) = (AgentId(0), gateway.sessions[0], gateway.now);
+    let first = RunNumber::default().next_unrecorded();
     let lapsed = RunReport {
         task: task(1, 0),
-        run: RunNumber(1),
+        run: first,
         end: Some(RunEnd::Lapsed),
         took_ms: 100,
     };
@@ -153,5 +155,5 @@
     assert_eq!(gateway.poll(), vec![], "no third run beside the second");
     let known = gateway.dispatcher.runs_of(agent).into_iter();
     let known: Vec<_> = known.map(|(task, run, _)| (task, run)).collect();
-    assert_eq!(known, vec![(task(1, 0), RunNumber(2))]);
+    assert_eq!(known, vec![(task(1, 0), first.next_unrecorded())]);
 }
--- a/crates/hemlock_jobs/src/ids.rs
+++ b/crates/hemlock_jobs/src/ids.rs
@@ -81,10 +81,22 @@
 pub struct RunNumber(pub u64);
 
 impl RunNumber {
-    /// The number that follows this one.
+    /// The next number of a run whose end must be recorded. These are the odd ones, so that a
+    /// process that finds a run or its end without knowing who ordered it can tell by the number.
     #[must_use]
-    pub fn next(self) -> Self {
-        Self(self.0 + 1)
+    pub fn next_recorded(self) -> Self {
+        Self(self.0 + 1 + self.0 % 2)
+    }
+
+    /// The next number of a run whose end needs no record.
+    #[must_use]
+    pub fn next_unrecorded(self) -> Self {
+        Self(self.0 + 2 - self.0 % 2)
+    }
+
+    /// Whether the end of the run must be recorded.
+    pub fn is_recorded(self) -> bool {
+        self.0 % 2 == 1
     }
 }
 
--- a/crates/hemlock_jobs/tests/book.rs
+++ b/crates/hemlock_jobs/tests/book.rs
@@ -187,3 +187,13 @@
         true
     }
 }
+
+#[test]
+fn run_numbers_rise_and_tell_whether_their_ends_are_recorded() {
+    for number in (0..20).map(RunNumber) {
+        let (kept, other) = (number.next_recorded(), number.next_unrecorded());
+        assert!(kept > number && other > number);
+        assert!(kept.is_recorded() && !other.is_recorded());
+    }
+    assert_eq!(RunNumber::default().next_recorded(), RunNumber(1));
+}
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -47,6 +47,8 @@
         let book = JobBook::new(RETENTION_MS);
         let settings = DispatchSettings {
             capacity: CapacityView::Shared,
+            // The job may run again, whatever became of its runs.
+            records_ends: false,
             authority_ms: RUNNER_PATIENCE_MS,
             lease_ms,
             ..DispatchSettings::default()
--- a/crates/hemlock_runs/src/driver.rs
+++ b/crates/hemlock_runs/src/driver.rs
@@ -104,6 +104,8 @@
     pub running: Vec<ListedRun>,
     /// What has ended and isn't settled, the oldest first.
     pub ended: Vec<ListedEnd>,
+    /// Whether these are all ends that aren't settled: an instance lists only so many at once.
+    pub all_ended: bool,
 }
 
 /// Why an instance gave no listing.
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -72,14 +72,20 @@
                 took_ms: known.map_or(0, |entry| entry.took_ms(now)),
             };
             // A gateway's job may run again, so its ends need no record.
-            let settled = matches!(owner, Some(Owner::Gateway(_)));
+            let settled = match owner {
+                Some(Owner::Gateway(_)) => true,
+                Some(Owner::Leader) => false,
+                None => !ended.run.is_recorded(),
+            };
             let numbered = NumberedEnd {
                 report,
                 owner,
                 settled,
             };
             self.ends.insert(ended.number, numbered);
-            self.note_over(now, owner, report, Some(ended.number));
+            // Nobody but the leader can settle an end without an owner.
+            let told = owner.or((!settled).then_some(Owner::Leader));
+            self.note_over(now, told, report, Some(ended.number));
         }
         self.advance_settled();
     }
@@ -126,6 +132,8 @@
             .collect();
         let stop_time = DurationMs::new(self.settings.stop_ms + STOP_MARGIN_MS);
         let is_over = |phase: Phase| match phase {
+            // Its end may be among those that aren't listed yet.
+            _ if !listing.all_ended => false,
             Phase::Starting => false,
             Phase::Running(since) => since < asked_at,
             Phase::Stopping { accepted, .. } => {
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -6,7 +6,7 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_runs::prelude::*;
-use hemlock_standin::InstanceModel;
+use hemlock_standin::{ENDS_PER_LISTING, InstanceModel};
 use hemlock_types::prelude::*;
 
 fn claim(job: u64) -> Claim {
@@ -197,6 +197,86 @@
     assert!(bench.model.unsettled().is_empty());
 }
 
+#[test]
+fn ends_that_nobody_has_claimed_are_told_to_the_leader_and_settled() {
+    let mut before = Bench::new();
+    before.attach(GATEWAY, 1, &[]);
+    before.start(GATEWAY, 1, 1, 6_000);
+    let mut bench = Bench::unheard(before.model, FENCE + 1);
+    bench.beat(false);
+    bench.list();
+    let inventory = bench.runs.leader_inventory(bench.now, SessionId(1));
+    // The leader knows nothing of the run, and has had the inventory before the run ends.
+    let unwanted = StopOrder {
+        task: task(1),
+        run: RunNumber(1),
+    };
+    let calls = bench
+        .runs
+        .leader_adopted(bench.now, &inventory, &[unwanted]);
+    bench.carry_out(calls);
+    bench.model.end(task(1), RunEnd::Done);
+    bench.list();
+    let outcomes = bench.runs.take_outbox();
+    let [(Owner::Leader, RunOutcome::Ended(report, Some(number)))] = outcomes[..] else {
+        panic!("the leader is told of the end and its number: {outcomes:?}");
+    };
+    assert_eq!((report.task, report.end), (task(1), Some(RunEnd::Done)));
+    bench.runs.settle([number]);
+    bench.list();
+    assert!(bench.model.unsettled().is_empty());
+}
+
+#[test]
+fn unclaimed_ends_that_need_no_record_are_settled_without_a_leader() {
+    let mut before = Bench::new();
+    before.attach(GATEWAY, 1, &[]);
+    let run = RunNumber::default().next_unrecorded();
+    let order = start(1, run.0, 6_000);
+    let (calls, _) = before.order(GATEWAY, 1, vec![order], vec![]);
+    before.carry_out(calls);
+    let mut bench = Bench::unheard(before.model, FENCE + 1);
+    bench.beat(false);
+    bench.list();
+    bench.model.end(task(1), RunEnd::Done);
+    bench.list();
+    bench.list();
+    assert!(bench.model.unsettled().is_empty());
+    let claim = Claim { run, ..claim(1) };
+    let inventory = bench.attach(GATEWAY, 2, &[claim]);
+    assert_eq!(
+        inventory.runs[0].end,
+        Some(RunEnd::Done),
+        "it is remembered"
+    );
+}
+
+#[test]
+fn a_run_whose_end_may_not_be_listed_yet_isnt_taken_for_lapsed() {
+    let mut bench = Bench::new();
+    bench.attach(Owner::Leader, 1, &[]);
+    // Ends that the leader doesn't settle fill the listings.
+    for job in 1..=ENDS_PER_LISTING as u64 {
+        bench.start(Owner::Leader, 1, job, 6_000);
+        bench.model.end(task(job), RunEnd::Done);
+        bench.list();
+    }
+    bench.runs.take_outbox();
+    let last = ENDS_PER_LISTING as u64 + 1;
+    bench.start(Owner::Leader, 1, last, 6_000);
+    bench.model.end(task(last), RunEnd::Done);
+    bench.live_ms(100);
+    assert_eq!(
+        ended(&bench.runs.take_outbox()),
+        vec![],
+        "its end is hidden"
+    );
+    bench.runs.settle(1..last);
+    bench.live_ms(100);
+    let outcomes = bench.runs.take_outbox();
+    assert_eq!(ended(&outcomes), vec![(task(last), Some(RunEnd::Done))]);
+}
+
 #[test]
 fn a_new_process_beside_the_instance_starts_nothing_until_it_knows_what_runs() {
     let mut before = Bench::new();
--- a/crates/hemlock_runs/tests/world/mod.rs
+++ b/crates/hemlock_runs/tests/world/mod.rs
@@ -182,6 +182,7 @@
         book.apply(&Batch::new(0, vec![configure]));
         let settings = DispatchSettings {
             capacity: CapacityView::Shared,
+            records_ends: false,
             authority_ms: 1_200,
             ..DispatchSettings::default()
         };
--- a/crates/hemlock_standin/src/instance.rs
+++ b/crates/hemlock_standin/src/instance.rs
@@ -13,6 +13,9 @@
     StopResult,
 };
 
+/// Ends that one listing names at most, the oldest first.
+pub const ENDS_PER_LISTING: usize = 500;
+
 /// One run at the instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ModelRun {
@@ -181,7 +184,8 @@
                     run: run.run,
                 })
                 .collect(),
-            ended: self.ends.clone(),
+            ended: self.ends.iter().take(ENDS_PER_LISTING).copied().collect(),
+            all_ended: self.ends.len() <= ENDS_PER_LISTING,
         })
     }
 }
--- a/crates/hemlock_standin/src/lib.rs
+++ b/crates/hemlock_standin/src/lib.rs
@@ -30,7 +30,7 @@
 pub use config::StandinConfig;
 pub use endpoint::{StandinEndpoint, StandinError, StandinHost};
 pub use faults::Faults;
-pub use instance::{InstanceModel, ModelRun};
+pub use instance::{ENDS_PER_LISTING, InstanceModel, ModelRun};
 pub use record::Seen;
 pub use service_time::ServiceTime;
 
@@ -39,7 +39,7 @@
     pub use crate::config::StandinConfig;
     pub use crate::endpoint::{StandinEndpoint, StandinError, StandinHost};
     pub use crate::faults::Faults;
-    pub use crate::instance::{InstanceModel, ModelRun};
+    pub use crate::instance::{ENDS_PER_LISTING, InstanceModel, ModelRun};
     pub use crate::record::Seen;
     pub use crate::service_time::ServiceTime;
 }
