Elect leaders within a few tenths of a second

Cause: after all power was lost a leader was elected 0.45 to 0.5 s after a majority of the coordinators ran: a keeper gives no vote for 0.4 s after its start, and campaigns after 0.4 to 0.8 s.

Change: coordinators use heartbeats of 50 ms, a lease of 120 ms and elections after 160 to 360 ms; the lease is as much shorter than the shortest election as before. Half of the random runs of the log use these times.

--- a/crates/hemlock_quorum/src/config.rs
+++ b/crates/hemlock_quorum/src/config.rs
@@ -105,6 +105,14 @@
         self
     }
 
+    /// The same settings with elections that take a fraction of a second, for keepers that answer
+    /// each other within tens of milliseconds. The lease is as much shorter than the shortest
+    /// election as by default; slower connections than these only cause needless elections.
+    #[must_use]
+    pub fn with_prompt_elections(self) -> Self {
+        self.with_times(50, 120, 160, 360)
+    }
+
     /// The same settings with other bounds for the log in memory and on disk.
     #[must_use]
     pub fn with_snapshots(mut self, after_entries: u64, keep_entries: u64) -> Self {
--- a/crates/hemlock_quorum/tests/cluster.rs
+++ b/crates/hemlock_quorum/tests/cluster.rs
@@ -54,6 +54,37 @@
     println!("median {} ms, longest {} ms", took_ms[100], took_ms[199]);
 }
 
+/// Longest time from the start of a majority after a loss of all power to the next accepted
+/// command, in the median, in milliseconds.
+const PROMPT_RECOVERY_MS: u64 = 300;
+
+#[test]
+fn prompt_keepers_serve_soon_after_all_power_was_lost() {
+    let mut took_ms = Vec::new();
+    for seed in 0..100 {
+        let mut sim = Sim::with_prompt_elections(seed, 5, 0);
+        assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()));
+        for id in sim.ids() {
+            sim.crash(id);
+        }
+        // Machines start one after the other.
+        for (index, id) in sim.ids().into_iter().enumerate() {
+            sim.run_ms(60, |_| false);
+            sim.start(id);
+            if index == 2 {
+                took_ms.push(sim.now_us);
+            }
+        }
+        assert!(accepts_more(&mut sim, TAKE_OVER_MS, 1), "seed {seed}");
+        let started_us = took_ms.pop().expect("a majority has started");
+        took_ms.push((sim.now_us - started_us) / 1_000);
+    }
+    took_ms.sort_unstable();
+    let (median_ms, longest_ms) = (took_ms[50], took_ms[99]);
+    println!("median {median_ms} ms, longest {longest_ms} ms");
+    assert!(median_ms <= PROMPT_RECOVERY_MS, "{median_ms} ms");
+}
+
 #[test]
 fn a_leader_that_is_cut_off_steps_down_and_follows_later() {
     for (seed, inwards, outwards) in [(1, true, true), (2, true, false), (3, false, true)] {
--- a/crates/hemlock_quorum/tests/random_runs.rs
+++ b/crates/hemlock_quorum/tests/random_runs.rs
@@ -42,7 +42,10 @@
     } else {
         (3, 2)
     };
-    let mut sim = Sim::new(seed, founders, spares);
+    let mut sim = match seed.is_multiple_of(2) {
+        true => Sim::with_prompt_elections(seed, founders, spares),
+        false => Sim::new(seed, founders, spares),
+    };
     assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()), "founded");
     sim.unleash();
     while sim.steps < RUN_STEPS {
--- a/crates/hemlock_quorum/tests/sim/mod.rs
+++ b/crates/hemlock_quorum/tests/sim/mod.rs
@@ -58,7 +58,12 @@
 impl Sim {
     /// A cluster of `founders` keepers and `spares` that nobody has added yet.
     pub(crate) fn new(seed: u64, founders: u64, spares: u64) -> Self {
-        Self::with(seed, founders, spares, None, true)
+        Self::with(seed, founders, spares, None, true, false)
+    }
+
+    /// The same, with prompt elections.
+    pub(crate) fn with_prompt_elections(seed: u64, founders: u64, spares: u64) -> Self {
+        Self::with(seed, founders, spares, None, true, true)
     }
 
     /// The same, whose leaders keep the set at `target` voters by themselves.
@@ -68,12 +73,12 @@
         spares: u64,
         target: Option<usize>,
     ) -> Self {
-        Self::with(seed, founders, spares, target, true)
+        Self::with(seed, founders, spares, target, true, false)
     }
 
     /// Keepers on empty disks that may not found a cluster.
     pub(crate) fn without_founding(seed: u64, founders: u64) -> Self {
-        Self::with(seed, founders, 0, None, false)
+        Self::with(seed, founders, 0, None, false, false)
     }
 
     fn with(
@@ -82,6 +87,7 @@
         spares: u64,
         target_voters: Option<usize>,
         may_found: bool,
+        prompt: bool,
     ) -> Self {
         let mut sim = Self {
             rng: Pcg32::seed_from_u64(seed),
@@ -92,7 +98,7 @@
             network: Network::default(),
             model: Model::default(),
             calm: true,
-            tempo: Tempo::default(),
+            tempo: Tempo::calm(prompt),
             founders: (1..=founders).map(KeeperId).collect(),
             stale_settings: target_voters.is_some(),
             target_voters,
@@ -179,7 +185,7 @@
         let (target, may_found) = (self.target_voters, self.may_found);
         let node = self.nodes.get_mut(&id).expect("a known keeper");
         if node.quorum.is_none() {
-            node.boot(seed, founders, self.tempo.election_max_ms, |config| {
+            node.boot(seed, founders, &self.tempo, |config| {
                 config.target_voters = target;
                 config.may_found = may_found;
             });
--- a/crates/hemlock_quorum/tests/sim/nemesis.rs
+++ b/crates/hemlock_quorum/tests/sim/nemesis.rs
@@ -13,14 +13,14 @@
         self.network.loss = self.rng.random_range(0.0..0.2);
         self.network.repeat = self.rng.random_range(0.0..0.2);
         self.network.late = self.rng.random_range(0.0..0.2);
-        self.tempo = Tempo::draw(&mut self.rng);
+        self.tempo = Tempo::draw(&mut self.rng, self.tempo.prompt);
         self.schedule(1, Happening::Mischief);
     }
 
     /// Mends everything that can be mended.
     pub(crate) fn heal(&mut self) {
         self.calm = true;
-        self.tempo = Tempo::default();
+        self.tempo = Tempo::calm(self.tempo.prompt);
         self.network.loss = 0.0;
         self.network.repeat = 0.0;
         self.network.late = 0.0;
--- a/crates/hemlock_quorum/tests/sim/node.rs
+++ b/crates/hemlock_quorum/tests/sim/node.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg32;
 
 use super::model::chain;
-use super::{Happening, Sim};
+use super::{Happening, Sim, Tempo};
 
 /// Bytes by which a snapshot is made longer, so that it takes several pieces.
 const PADDING_BYTES: usize = 1_000;
@@ -76,12 +76,15 @@
         &mut self,
         seed: u64,
         founders: Vec<KeeperId>,
-        election_max_ms: u64,
+        tempo: &Tempo,
         adjust: impl FnOnce(&mut QuorumConfig),
     ) {
-        let mut config = QuorumConfig::new(self.id, self.incarnation, founders)
-            .with_times(100, 300, 400, election_max_ms)
-            .with_snapshots(60, 20);
+        let mut config =
+            QuorumConfig::new(self.id, self.incarnation, founders).with_snapshots(60, 20);
+        if tempo.prompt {
+            config = config.with_prompt_elections();
+        }
+        config.election_max_ms = tempo.election_max_ms.unwrap_or(config.election_max_ms);
         config.chunk_bytes = 300;
         config.max_message_bytes = 2_000;
         config.max_ahead_entries = 64;
