Finish the rest of a begun job first while its caller waits, else give it up

Cause: a job of which one run had stalled or lapsed after its objective could wait 25 ms at an instance at most, and as useless after three objectives it was placed no more; having begun it didn't count as hopeless either, so that its caller was held until its deadline and then told 504.

Change: a begun job is judged by when its caller leaves. Until its rest can't end before that, the rest is the most urgent and may wait at full instances; after that it is given up at once.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -9,14 +9,12 @@
 use hemlock_types::time::{DurationMs, Instant};
 
 use super::Dispatcher;
+use crate::estimate::ESTIMATE_MAY_BE_HIGH_BY;
 use crate::instance::Agent;
 use crate::job::{Policy, spec_chain_ms};
 use crate::order::Urgency;
 use crate::ranking::{Promise, Rank};
 
-/// Factor by which a declared duration may be too long.
-const ESTIMATE_MAY_BE_HIGH_BY: u64 = 2;
-
 /// Why a job is rejected, before anything of it is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmitRefusal {
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
+use crate::estimate::ESTIMATE_MAY_BE_HIGH_BY;
 use crate::instance::Agent;
 use crate::job::{Job, Policy, Step, Task, TaskState, spec_chain_ms};
 use crate::order::SessionId;
@@ -161,6 +162,7 @@
             steps,
             due: began + objective,
             useless_at: began + DurationMs::new(useless_ms as u64),
+            caller_leaves_at: None,
             rank: None,
         };
         self.jobs.insert(id, job);
@@ -214,21 +216,21 @@
         self.dropped_runs.push_back((self.now, id, highest));
     }
 
-    /// Ends a job's usefulness at the given moment, if it lasts longer.
-    pub fn limit_usefulness(&mut self, id: JobId, until: Instant) {
+    /// Notes when the caller of a job stops waiting for its result.
+    pub fn note_caller_leaves(&mut self, id: JobId, at: Instant) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.useless_at = job.useless_at.min(until);
+            job.useless_at = job.useless_at.min(at);
+            job.caller_leaves_at = Some(at);
         }
         self.rerank(id);
     }
 
-    /// Jobs of which nothing has been started, and whose result can't serve anybody any more.
+    /// Jobs with tasks to start whose result can't serve anybody any more.
     pub fn hopeless_jobs(&self) -> Vec<JobId> {
         let useless = self.ready.iter().rev();
         useless
             .take_while(|rank| rank.promise == Promise::Useless)
             .map(|rank| rank.job)
-            .filter(|id| self.jobs.get(id).is_some_and(|job| !job.started))
             .collect()
     }
 
@@ -243,13 +245,7 @@
         if job.startable().next().is_none() {
             return;
         }
-        let remaining = DurationMs::new(job.remaining_chain_ms());
-        let (promise, until) = judge_promise(self.now, remaining, job.due, job.useless_at);
-        let promise = match promise {
-            // What was spent on it is lost unless the rest follows.
-            Promise::Late if job.started => Promise::Prompt,
-            promise => promise,
-        };
+        let (promise, until) = judge_job(self.now, job);
         let rank = Rank {
             promise,
             untouched: !job.started,
@@ -305,3 +301,22 @@
             .filter(|agent| agent.session == Some(session))
     }
 }
+
+/// What a job's result can still be, and when that changes if nothing is done.
+///
+/// What was spent on a job that has begun is lost unless the rest follows, so its rest goes first
+/// for as long as its caller may get the result.
+fn judge_job(now: Instant, job: &Job) -> (Promise, Option<Instant>) {
+    let remaining_ms = job.remaining_chain_ms();
+    match (job.started, job.caller_leaves_at) {
+        (false, _) => {
+            let remaining = DurationMs::new(remaining_ms);
+            judge_promise(now, remaining, job.due, job.useless_at)
+        }
+        (true, None) => (Promise::Prompt, None),
+        (true, Some(leaves_at)) => {
+            let least = DurationMs::new(remaining_ms / ESTIMATE_MAY_BE_HIGH_BY);
+            judge_promise(now, least, leaves_at, leaves_at)
+        }
+    }
+}
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -144,9 +144,11 @@
     /// How long a task of the job may wait at an instance: until it would miss what it can reach.
     fn queue_patience_ms(&self, job: &Job) -> u64 {
         let promise = job.rank.map_or(Promise::Prompt, |rank| rank.promise);
-        let end = match promise {
-            Promise::Prompt => job.due,
-            Promise::Late | Promise::Useless => return LATE_PATIENCE_MS,
+        let end = match (promise, job.caller_leaves_at) {
+            (Promise::Late | Promise::Useless, _) => return LATE_PATIENCE_MS,
+            // The rest of a job that has begun may be late, and is then the most urgent.
+            (Promise::Prompt, Some(leaves_at)) if job.due <= self.now => leaves_at,
+            (Promise::Prompt, _) => job.due,
         };
         let left_ms = end.since(self.now).as_ms();
         left_ms
--- a/crates/hemlock_dispatch/src/estimate.rs
+++ b/crates/hemlock_dispatch/src/estimate.rs
@@ -1,5 +1,8 @@
 //! Learnt durations.
 
+/// Factor by which a declared duration may be too long.
+pub(crate) const ESTIMATE_MAY_BE_HIGH_BY: u64 = 2;
+
 /// Weight of the newest figure in a moving average.
 const NEWEST_WEIGHT: f64 = 0.1;
 
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -85,8 +85,10 @@
     pub(crate) steps: Vec<Step>,
     /// When its result stops being prompt.
     pub(crate) due: Instant,
-    /// When its result stops serving anybody.
+    /// When its result is too late to begin work for it.
     pub(crate) useless_at: Instant,
+    /// When its caller stops waiting, if one waits.
+    pub(crate) caller_leaves_at: Option<Instant>,
     /// Whether a task has been started.
     pub(crate) started: bool,
     /// Its place among the jobs with work to start.
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -70,6 +70,20 @@
             .job_accepted(self.now, JobId(id), queue, open);
     }
 
+    /// An agent reports an end, which needs no more than to be noted.
+    fn end(&mut self, agent: u64, report: RunReport) {
+        let session = self.sessions[usize::try_from(agent).expect("a small number")];
+        let verdict = self
+            .dispatcher
+            .report_end(self.now, AgentId(agent), session, report);
+        if let EndVerdict::Record(end) = verdict {
+            let (task, run) = (report.task, report.run);
+            self.book
+                .apply(&Batch::new(0, vec![Command::End(task, run, end)]));
+            self.dispatcher.end_recorded(self.now, task, run, end);
+        }
+    }
+
     fn poll(&mut self) -> Vec<(u64, TaskKey)> {
         let orders = self.dispatcher.poll(self.now).into_iter();
         orders
@@ -157,3 +171,46 @@
     let known: Vec<_> = known.map(|(task, run, _)| (task, run)).collect();
     assert_eq!(known, vec![(task(1, 0), first.next_unrecorded())]);
 }
+
+/// A job of two tasks, one of which is done, and whose objective has passed.
+fn half_done_and_late(gateway: &mut Gateway) -> Instant {
+    gateway.tell(0, 2, [0; URGENCY_LEVELS]);
+    gateway.submit("later", 1, job(2, 6_000, 200));
+    let leaves_at = gateway.now + DurationMs::new(2_000);
+    gateway.dispatcher.note_caller_leaves(JobId(1), leaves_at);
+    assert_eq!(gateway.poll().len(), 2);
+    for (index, end) in [(0, RunEnd::Done), (1, RunEnd::Stalled)] {
+        let report = RunReport {
+            task: task(1, index),
+            run: RunNumber::default().next_unrecorded(),
+            end: Some(end),
+            took_ms: 200,
+        };
+        gateway.end(0, report);
+    }
+    // The objective is 380 ms, and thrice that ends all worth of beginning the job.
+    gateway.now += DurationMs::new(1_200);
+    leaves_at
+}
+
+#[test]
+fn the_rest_of_a_begun_job_waits_at_a_full_instance_while_its_caller_waits() {
+    let mut gateway = Gateway::new(2);
+    half_done_and_late(&mut gateway);
+    // Full, with work of half a second that is as urgent by its queue: the late rest passes it.
+    gateway.tell(0, 0, [0, 0, work(500), 0]);
+    gateway.tell(1, 0, [0, 0, work(500), 0]);
+    assert_eq!(gateway.poll().len(), 1);
+    assert_eq!(gateway.dispatcher.hopeless_jobs(), vec![]);
+}
+
+#[test]
+fn a_begun_job_is_hopeless_once_its_rest_cannot_end_before_its_caller_leaves() {
+    let mut gateway = Gateway::new(1);
+    let leaves_at = half_done_and_late(&mut gateway);
+    gateway.tell(0, 0, [work(5_000), 0, 0, 0]);
+    assert_eq!(gateway.poll(), vec![]);
+    gateway.now = leaves_at;
+    gateway.poll();
+    assert_eq!(gateway.dispatcher.hopeless_jobs(), vec![JobId(1)]);
+}
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -120,7 +120,7 @@
         self.apply(now, Command::Accept(Box::new(acceptance)));
         if let Some(open) = self.book.job(id).and_then(JobRecord::open) {
             self.dispatcher.job_accepted(now, id, &queue.name, open);
-            self.dispatcher.limit_usefulness(id, answer_by);
+            self.dispatcher.note_caller_leaves(id, answer_by);
         }
         Ok(self.wait_for(now, id, answer_by))
     }
