Admit by the mean wait at sound instances, and within half of the slack

Cause: admission took the shortest expected wait of any instance.

Change: the expected wait is the mean over instances that get work. A job is admitted when that is within 0.5 of its slack in place of 0.65.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -64,12 +64,14 @@
             due_in_ms: 0,
         }
         .level();
-        let agents = self.agents.values().filter(|agent| agent.takes_work());
         let own_service = |agent: &&Agent| {
             let instance = agent.instance.as_ref();
             instance.is_some_and(|instance| instance.service == service)
         };
-        let agents: Vec<&Agent> = agents.filter(own_service).collect();
+        let agents = self.agents.values().filter(|agent| agent.takes_work());
+        // An instance that gets no work has a short queue, which helps nobody.
+        let sound = |agent: &&Agent| agent.health.admits(self.now, agent.runs.len());
+        let agents: Vec<&Agent> = agents.filter(own_service).filter(sound).collect();
         // What this dispatcher can count on: its part of each instance.
         let share = |agent: &&Agent| {
             let capacity = agent.instance.as_ref().map_or(0, |i| i.capacity.cpu_milli);
@@ -94,9 +96,11 @@
             cpu_milli: 1,
             ..Resources::default()
         };
+        // Placement evens out the queues, and the tasks of a job go to several of them.
         let there = agents
             .iter()
             .map(|agent| agent.expected_wait_ms(&nothing, level));
-        there.min().unwrap_or(0) + here / share
+        let mean = there.sum::<u64>() / agents.len().max(1) as u64;
+        mean + here / share
     }
 }
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -45,7 +45,7 @@
             lease_ms: 1_000,
             margin_ms: 250,
             useless_after_objectives: 3.0,
-            admit_slack_share: 0.65,
+            admit_slack_share: 0.5,
             retry_after_min_ms: 1_000,
         }
     }
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -214,3 +214,47 @@
     gateway.poll();
     assert_eq!(gateway.dispatcher.hopeless_jobs(), vec![JobId(1)]);
 }
+
+/// Whether an urgent job of eight tasks is taken in: its objective leaves it 96 ms to wait.
+fn admits(gateway: &mut Gateway) -> bool {
+    let spec = job(8, 6_000, 60);
+    gateway
+        .dispatcher
+        .admit(gateway.now, &queue("urgent", 0), &spec, None)
+        .is_ok()
+}
+
+#[test]
+fn one_short_queue_among_long_ones_doesnt_admit_a_job_of_many_tasks() {
+    let mut gateway = Gateway::new(3);
+    gateway.tell(0, 0, [work(90), 0, 0, 0]);
+    gateway.tell(1, 0, [work(90), 0, 0, 0]);
+    gateway.tell(2, 0, [0; URGENCY_LEVELS]);
+    assert!(!admits(&mut gateway));
+    gateway.tell(0, 0, [work(20), 0, 0, 0]);
+    gateway.tell(1, 0, [work(20), 0, 0, 0]);
+    assert!(admits(&mut gateway));
+}
+
+#[test]
+fn the_short_queue_of_an_instance_that_gets_no_work_admits_nothing() {
+    let mut gateway = Gateway::new(2);
+    gateway.tell(0, 8, [0; URGENCY_LEVELS]);
+    // All runs fail at the first instance, until it is ejected.
+    for id in 1..=3 {
+        gateway.submit("urgent", id, job(1, 6_000, 60));
+        let placed = gateway.poll();
+        assert_eq!(placed, vec![(0, task(id, 0))]);
+        let report = RunReport {
+            task: task(id, 0),
+            run: RunNumber::default().next_unrecorded(),
+            end: Some(RunEnd::Failed),
+            took_ms: 60,
+        };
+        gateway.end(0, report);
+        gateway.dispatcher.job_ended(JobId(id));
+    }
+    gateway.tell(0, 8, [0; URGENCY_LEVELS]);
+    gateway.tell(1, 0, [work(60), 0, 0, 0]);
+    assert!(!admits(&mut gateway));
+}
