Extend no lease while a stop is unanswered

Cause: a stop without an answer was sent again for 0.4 s before renewals ended, so its run could go on for 1.45 s, and for 1.75 s after its gateway's end; a caller hands its job in again after 1.3 s, and the task could then run twice at once. After that time nothing was started there at all until the stop was answered.

Change: while any stop is unanswered the lease is not extended, and starts run in what is left of it, if that is 0.3 s or more. With a gateway's return within 0.2 s and ticks of 50 ms, runs of a gateway whose connection has closed end within 1.27 s even if no stop is ever answered.

Tests: the test of stops without effect expected a renewal within 0.4 s; it now expects none at once, the end of the run with the present lease, and no start in a lease that is nearly over.

--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -30,7 +30,7 @@
 /// Added to the longest lease, for calls of an earlier process that were still on their way.
 const LEASE_MARGIN: DurationMs = DurationMs::new(100);
 /// Time between two looks at what time alone brings about.
-const TICK_PERIOD: DurationMs = DurationMs::new(100);
+const TICK_PERIOD: DurationMs = DurationMs::new(50);
 
 /// What a runner needs to know.
 pub struct RunnerSettings {
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -35,7 +35,8 @@
     pub leader_authority_ms: u64,
     /// How long a gateway's runs go on after it was last heard, in milliseconds.
     pub gateway_silence_ms: u64,
-    /// How long an owner whose connection has closed may take to return, in milliseconds.
+    /// How long an owner whose connection has closed may take to return, in milliseconds. With a tick
+    /// and a whole lease it is less than the time after which callers hand a job in again.
     pub return_ms: u64,
     /// How long runs that an earlier process started may take to be claimed, in milliseconds: owners
     /// that are there connect again within a few tenths of a second.
@@ -47,8 +48,9 @@
     pub lease_ms: u64,
     /// Longest time that an accepted stop takes, in milliseconds.
     pub stop_ms: u64,
-    /// Time after which a stop without effect ends the renewal of all leases, in milliseconds.
-    pub stop_patience_ms: u64,
+    /// What must be left of the lease for a start that can't extend it, in milliseconds: most tasks
+    /// end in that time, or the lease can be extended before it is over.
+    pub start_lease_min_ms: u64,
     /// How long the end of a run is remembered for an owner that returns, in milliseconds.
     pub remember_ends_ms: u64,
 }
@@ -58,12 +60,12 @@
         Self {
             leader_authority_ms: 2_000,
             gateway_silence_ms: 850,
-            return_ms: 250,
+            return_ms: 200,
             claim_ms: 400,
             answer_patience_ms: 500,
             lease_ms: 1_000,
             stop_ms: 50,
-            stop_patience_ms: 400,
+            start_lease_min_ms: 300,
             remember_ends_ms: 3_000,
         }
     }
@@ -161,6 +163,8 @@
     /// Whether the instance answers, and its runs are known.
     reachable: bool,
     clock: Option<ClockReading>,
+    /// Until when the instance was told that everything may run, on its clock, in milliseconds.
+    granted_until_ms: u64,
     table: BTreeMap<TaskKey, Entry>,
     used: Resources,
     queue: BTreeSet<QueuePlace>,
@@ -196,6 +200,7 @@
             life: None,
             reachable: false,
             clock: None,
+            granted_until_ms: 0,
             table: BTreeMap::new(),
             used: Resources::default(),
             queue: BTreeSet::new(),
@@ -266,38 +271,52 @@
         !self.ends.is_empty()
     }
 
-    /// Whether leases may be renewed. A stop that has no effect can only be enforced by letting the
-    /// leases run out.
-    pub fn may_renew(&self, now: Instant) -> bool {
-        let patience = DurationMs::new(self.settings.stop_patience_ms);
-        let stuck = |entry: &Entry| match entry.phase {
-            Phase::Stopping {
-                since,
-                accepted: None,
-                ..
-            } => now > since + patience,
-            _ => false,
-        };
-        !self.table.values().any(stuck)
+    /// Whether the lease may be extended. While a stop isn't answered, only the lease makes sure that
+    /// its run ends: its caller may hand the job in again soon.
+    pub fn may_renew(&self) -> bool {
+        let unanswered =
+            |entry: &Entry| matches!(entry.phase, Phase::Stopping { accepted: None, .. });
+        !self.table.values().any(unanswered)
     }
 
-    /// The end of a lease taken now, on the instance's clock.
-    pub fn lease_until_ms(&self, now: Instant) -> Option<u64> {
+    /// The instance's clock, in milliseconds.
+    fn clock_ms(&self, now: Instant) -> Option<u64> {
         let reading = self.clock?;
-        let clock_ms = reading.clock_ms + now.since(reading.at).as_ms();
-        Some(clock_ms + self.settings.lease_ms)
+        Some(reading.clock_ms + now.since(reading.at).as_ms())
     }
 
-    /// The end of the lease that a listing takes now. None is taken while a stop has no effect, while
-    /// the instance doesn't answer, and while something runs that nobody has claimed: its owner may be gone, and however often this
-    /// process is restarted, such a run then ends with its last lease.
-    pub fn take_renewal(&mut self, now: Instant) -> Option<u64> {
-        let may_renew = self.may_renew(now) && !self.has_unclaimed() && self.is_answering(now);
-        let until_ms = self.lease_until_ms(now).filter(|_| may_renew)?;
+    /// Extends the lease to its full length from now, and returns its end on the instance's clock.
+    fn extend_lease(&mut self, now: Instant) -> Option<u64> {
+        let until_ms = self.clock_ms(now)? + self.settings.lease_ms;
+        self.granted_until_ms = self.granted_until_ms.max(until_ms);
         self.leased_at = now;
         Some(until_ms)
     }
 
+    /// The end of the lease that a listing takes now. None is taken while a stop isn't answered,
+    /// while the instance doesn't answer, and while something runs that nobody has claimed: its
+    /// owner may be gone, and however often this process is restarted, such a run then ends with its
+    /// last lease.
+    pub fn take_renewal(&mut self, now: Instant) -> Option<u64> {
+        let may_renew = self.may_renew() && !self.has_unclaimed() && self.is_answering(now);
+        may_renew.then(|| self.extend_lease(now)).flatten()
+    }
+
+    /// The end of the lease that a start takes now: one that may not extend the lease runs in what is
+    /// left of it.
+    fn take_start_lease(&mut self, now: Instant) -> Option<u64> {
+        if !self.is_answering(now) {
+            return None;
+        }
+        match self.may_renew() {
+            true => self.extend_lease(now),
+            false => {
+                let least_ms = self.clock_ms(now)? + self.settings.start_lease_min_ms;
+                Some(self.granted_until_ms).filter(|until_ms| *until_ms >= least_ms)
+            }
+        }
+    }
+
     /// Whether the instance has answered lately. One that doesn't may carry out all the same what it
     /// is told, so nothing more is started there and no lease renewed until it answers.
     fn is_answering(&self, now: Instant) -> bool {
@@ -442,6 +461,7 @@
             self.ends.clear();
             self.settled = 0;
             self.beat_sequence = 0;
+            self.granted_until_ms = 0;
         }
         if another {
             self.forget_runs(now);
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -47,17 +47,15 @@
                 break;
             };
             let needs = queued.order.needs;
-            let may_start = self.may_renew(now) && self.is_answering(now);
-            let Some(lease_until_ms) = self.lease_until_ms(now).filter(|_| may_start) else {
-                break;
-            };
             if self.has_unclaimed() || !self.has_room(&needs) || self.table.contains_key(&task) {
                 break;
             }
+            let Some(lease_until_ms) = self.take_start_lease(now) else {
+                break;
+            };
             let Some(queued) = self.dequeue(task) else {
                 break;
             };
-            self.leased_at = now;
             let entry = Entry {
                 owner: Some(queued.owner),
                 run: queued.order.run,
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -359,7 +359,7 @@
 }
 
 #[test]
-fn a_stop_without_effect_ends_the_renewal_of_leases() {
+fn a_stop_without_an_answer_lets_its_run_end_with_the_present_lease() {
     let mut bench = Bench::new();
     bench.attach(GATEWAY, 1, &[]);
     bench.start(GATEWAY, 1, 1, 6_000);
@@ -374,10 +374,12 @@
     bench
         .runs
         .stop_answered(bench.now, &lost, StopResult::Unanswered);
-    assert!(bench.runs.may_renew(bench.now));
+    assert!(!bench.runs.may_renew());
+    assert_eq!(bench.runs.take_renewal(bench.now), None);
+    // What is started meanwhile runs in what is left of the lease.
     bench.start(GATEWAY, 1, 2, 6_000);
     bench.advance_ms(401);
-    assert!(!bench.runs.may_renew(bench.now));
+    assert!(!bench.runs.may_renew());
     assert_eq!(bench.runs.take_renewal(bench.now), None);
     // Ends are heard of all the same.
     bench.runs.take_outbox();
@@ -385,6 +387,12 @@
     bench.list();
     let outcomes = bench.runs.take_outbox();
     assert_eq!(ended(&outcomes), vec![(task(2), Some(RunEnd::Done))]);
+    // Nothing is started in a lease that is nearly over.
+    bench.advance_ms(400);
+    let (calls, refused) = bench.order(GATEWAY, 1, vec![start(3, 1, 6_000)], vec![]);
+    assert_eq!((calls, refused), (vec![], vec![]));
+    bench.advance_ms(200);
+    assert!(bench.model.running().is_empty());
 }
 
 #[test]
