Draw test ports in one place, below those of outgoing connections

Change: the bench's way moves to hemlock_standin; the bench, the demonstration and the tests of keeper, command and platform use it.

--- a/bins/hemlock/src/demo/cluster.rs
+++ b/bins/hemlock/src/demo/cluster.rs
@@ -1,7 +1,7 @@
 //! The demonstration's cluster: every role in this process, on loopback.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -88,7 +88,10 @@
     /// Starts everything and waits until every entry is ready.
     pub(crate) fn start(seed: u64, narrator: &Narrator) -> Result<Self, DemoError> {
         let folder = TempDir::with_prefix("hemlock-demo-")?;
-        let wire = free_addresses(DOMAINS.len())?;
+        // The keepers' addresses must be known before the first keeper starts.
+        let wire = (0..DOMAINS.len())
+            .map(|_| free_address())
+            .collect::<Result<Vec<_>, _>>()?;
         let keepers = start_keepers(folder.path(), &wire)?;
         let keeper_http: Vec<_> = keepers.iter().map(KeeperHandle::http_address).collect();
         wait_ready("a keeper", &keeper_http)?;
@@ -200,18 +203,6 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// Addresses that are free now. The keepers' must be known before the first keeper starts.
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, DemoError> {
-    let listeners = (0..count)
-        .map(|_| TcpListener::bind(loopback(0)))
-        .collect::<Result<Vec<_>, _>>()?;
-    let addresses = listeners
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<Result<_, _>>()?;
-    Ok(addresses)
-}
-
 fn role_error(name: &str, error: &dyn std::error::Error) -> DemoError {
     DemoError::Role(name.to_owned(), error.to_string())
 }
--- a/bins/hemlock/tests/command_line.rs
+++ b/bins/hemlock/tests/command_line.rs
@@ -145,10 +145,7 @@
     let key = folder.path().join("key");
     std::fs::write(&key, "a-key\n").unwrap();
     let key = key.to_str().unwrap();
-    // Bound and closed again: nothing listens there.
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let nobody = listener.local_addr().unwrap().to_string();
-    drop(listener);
+    let nobody = hemlock_standin::free_address().unwrap().to_string();
     let target = ["--keepers", &nobody, "--key-file", key];
     for command in [
         &["status"][..],
--- a/bins/hemlock/tests/common/mod.rs
+++ b/bins/hemlock/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hemlock_agent::{Agent, AgentHandle};
@@ -34,7 +34,7 @@
     /// Starts everything with one contract, and waits until work can run.
     pub fn start(agents: usize) -> Self {
         let folder = TempDir::new().unwrap();
-        let wire = free_address();
+        let wire = free_address().unwrap();
         let keeper = Keeper::start(keeper_settings(&folder, wire)).unwrap();
         wait_for("a leader", || is_ready(keeper.http_address()));
         let standins: Vec<_> = (0..agents)
@@ -158,11 +158,6 @@
     client.send(&call).is_ok_and(|reply| reply.status == 200)
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn loopback() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
 }
--- a/crates/hemlock_keeper/tests/common/mod.rs
+++ b/crates/hemlock_keeper/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -162,15 +162,10 @@
 
 /// Ports that are free now, all different.
 fn free_addresses(count: usize) -> Vec<KeeperAddress> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    listeners
-        .iter()
-        .enumerate()
-        .map(|(index, listener)| KeeperAddress {
-            id: index as u64 + 1,
-            address: listener.local_addr().unwrap(),
+    (1..=count as u64)
+        .map(|id| KeeperAddress {
+            id,
+            address: hemlock_standin::free_address().unwrap(),
         })
         .collect()
 }
--- a/crates/hemlock_standin/src/lib.rs
+++ b/crates/hemlock_standin/src/lib.rs
@@ -22,6 +22,7 @@
 mod endpoint;
 mod faults;
 mod instance;
+mod ports;
 mod record;
 mod request;
 mod service_time;
@@ -31,6 +32,7 @@
 pub use endpoint::{StandinEndpoint, StandinError, StandinHost};
 pub use faults::Faults;
 pub use instance::{ENDS_PER_LISTING, InstanceModel, ModelRun};
+pub use ports::free_address;
 pub use record::Seen;
 pub use service_time::ServiceTime;
 
@@ -40,6 +42,7 @@
     pub use crate::endpoint::{StandinEndpoint, StandinError, StandinHost};
     pub use crate::faults::Faults;
     pub use crate::instance::{ENDS_PER_LISTING, InstanceModel, ModelRun};
+    pub use crate::ports::free_address;
     pub use crate::record::Seen;
     pub use crate::service_time::ServiceTime;
 }
--- a/tools/bench/src/cluster/fleet.rs
+++ b/tools/bench/src/cluster/fleet.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::cluster::layout::{CLUSTER_KEY, ENDPOINT_SLOTS};
+use crate::cluster::layout::{CLUSTER_KEY, ENDPOINT_SLOTS, cluster_name};
 use crate::error::BenchError;
 
 /// Time between announcements of one agent.
@@ -105,7 +105,7 @@
         role: Role::Agent,
         incarnation,
         id: 0,
-        cluster: "bench".to_owned(),
+        cluster: cluster_name(),
         key: ClusterKey::new(CLUSTER_KEY),
     });
     let service: Rc<dyn Service> = Rc::new(InstantEndpoint);
--- a/tools/bench/src/cluster/layout.rs
+++ b/tools/bench/src/cluster/layout.rs
@@ -1,9 +1,9 @@
 //! Addresses and settings of the programs of one run.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
 
+use hemlock_standin::free_address;
 use hemlock_types::digest::Digest;
 use serde_json::{Value, json};
 
@@ -14,10 +14,6 @@
 pub(crate) const CLUSTER_KEY: &str = "bench-cluster-key";
 /// Key that operators present.
 pub(crate) const OPERATOR_KEY: &str = "bench-operator-key";
-/// Ports that the bench gives out.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-/// How far apart two runs of the bench begin to look for free ports.
-const PORTS_PER_PROCESS: u32 = 977;
 /// Cores of each worker.
 const WORKER_CORES: u32 = 64;
 /// Memory of each worker in megabytes.
@@ -61,18 +57,22 @@
     pub(crate) reached: SocketAddr,
 }
 
+/// The cluster of this process of the bench. Clusters of others, which may run side by side and take
+/// over the port of a process that was killed, have another name and are refused.
+pub(crate) fn cluster_name() -> String {
+    format!("bench-{}", std::process::id())
+}
+
 /// Draws free loopback addresses.
 ///
-/// Their ports lie below those that the system gives to outgoing connections, which could take
-/// a port between this look at it and the start of its program.
-///
 /// # Errors
 ///
 /// [`BenchError::NotReady`] when every port is taken.
 pub(crate) fn free_addresses(count: usize) -> Result<Vec<Addresses>, BenchError> {
     let addresses = (0..count * 3)
         .map(|_| free_address())
-        .collect::<Result<Vec<_>, _>>()?;
+        .collect::<Result<Vec<_>, _>>()
+        .map_err(|_| BenchError::NotReady("every port of the bench is taken"))?;
     let group = |three: &[SocketAddr]| Addresses {
         wire: three[0],
         http: three[1],
@@ -81,20 +81,6 @@
     Ok(addresses.chunks(3).map(group).collect())
 }
 
-fn free_address() -> Result<SocketAddr, BenchError> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let offset = std::process::id() * PORTS_PER_PROCESS;
-    for _ in PORTS {
-        let number = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + (number % u32::from(PORTS.end - PORTS.start)) as u16;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(BenchError::NotReady("every port of the bench is taken"))
-}
-
 /// Settings of keeper `index`.
 pub(crate) fn keeper_settings(
     spec: &Spec,
@@ -108,7 +94,7 @@
         .map(|(member, at)| json!({ "id": member + 1, "address": at.wire }))
         .collect();
     json!({
-        "cluster": "bench",
+        "cluster": cluster_name(),
         "cluster_key": CLUSTER_KEY,
         "keeper_id": index + 1,
         "data_folder": folder.join(format!("keeper-{index}")),
@@ -129,7 +115,7 @@
     index: usize,
 ) -> Value {
     json!({
-        "cluster": "bench",
+        "cluster": cluster_name(),
         "cluster_key": CLUSTER_KEY,
         "http_address": entry.http,
         "domain": domain_of(spec, index),
@@ -148,7 +134,7 @@
     endpoint: SocketAddr,
 ) -> Value {
     json!({
-        "cluster": "bench",
+        "cluster": cluster_name(),
         "cluster_key": CLUSTER_KEY,
         "wire_address": agent.wire,
         "advertised_address": agent.reached,
--- a/tools/bench/src/scenario/claims.rs
+++ b/tools/bench/src/scenario/claims.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::cluster::layout::CLUSTER_KEY;
+use crate::cluster::layout::{CLUSTER_KEY, cluster_name};
 use crate::cluster::metrics::Counters;
 use crate::cluster::running::Cluster;
 use crate::error::BenchError;
@@ -223,7 +223,7 @@
             role: Role::Entry,
             incarnation: ENTRY,
             id: 0,
-            cluster: "bench".to_owned(),
+            cluster: cluster_name(),
             key: ClusterKey::new(CLUSTER_KEY),
         });
         let opened = connect(*address, identity, Rc::new(NoService), CONNECT_TIMEOUT).await;
