Tell a caller that its job has not run once the runners confirm it

Cause: a job that was given up after its tasks had been ordered was answered 504 though all of them still waited in the queues of instances: the caller could not know that it may safely hand the job in again.

Change: the dispatcher takes a given-up job back. Where every ordered run is confirmed not to have begun, its caller gets a refusal with Retry-After; where one has begun, or no confirmation comes within 25 ms, it is told 504 as before.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -39,6 +39,10 @@
             .get_mut(&id)
             .and_then(|agent| agent.remove_run(task, number));
         self.placement_due = true;
+        self.withdrawals.note_ended(task);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.ran = true;
+        }
         match (self.task_state(task), end) {
             (Some(TaskState::Running(agent, run)), _) if agent == id && run == number => {}
             // Told again before the record of the first telling is known to be durable.
@@ -165,6 +169,7 @@
             // Another owner of the same job has used higher numbers.
             RefusalReason::Outdated => self.skip_run_numbers(task),
         }
+        self.withdrawals.note_refused(task, number);
         self.run_is_over(id, task, number);
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -5,9 +5,11 @@
 mod place;
 mod sessions;
 mod tick;
+mod withdrawal;
 
 pub use admission::AdmitRefusal;
 pub use sessions::Adoption;
+pub use withdrawal::Withdrawal;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -20,6 +22,7 @@
 use crate::order::SessionId;
 use crate::ranking::{Promise, Rank, judge_promise};
 use crate::settings::DispatchSettings;
+use withdrawal::Withdrawals;
 
 /// How long the run numbers of a dropped job are remembered.
 const DROPPED_RUNS_KEPT: DurationMs = DurationMs::new(10_000);
@@ -60,6 +63,7 @@
     /// The highest run numbers of jobs that were dropped, the oldest first: the same job may be
     /// handed in again.
     dropped_runs: VecDeque<(Instant, JobId, RunNumber)>,
+    withdrawals: Withdrawals,
 }
 
 impl Dispatcher {
@@ -80,6 +84,7 @@
             placement_due: true,
             next_scan: now,
             dropped_runs: VecDeque::new(),
+            withdrawals: Withdrawals::default(),
         };
         if let Some(configuration) = book.configuration() {
             dispatcher.configure(configuration);
@@ -111,6 +116,7 @@
     /// Takes in a job that the record has just accepted.
     pub fn job_accepted(&mut self, now: Instant, id: JobId, queue: &str, open: &OpenJob) {
         self.advance(now);
+        self.withdrawals.forget(id);
         self.add_job(id, queue, open, DurationMs::new(0), TaskState::Waiting);
     }
 
@@ -159,6 +165,7 @@
             priority: policy.priority,
             payload: open.spec.payload.clone(),
             started: steps.iter().any(|step| step.done > 0),
+            ran: steps.iter().any(|step| step.done > 0),
             steps,
             due: began + objective,
             useless_at: began + DurationMs::new(useless_ms as u64),
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -89,8 +89,10 @@
     pub(crate) useless_at: Instant,
     /// When its caller stops waiting, if one waits.
     pub(crate) caller_leaves_at: Option<Instant>,
-    /// Whether a task has been started.
+    /// Whether the start of a task has been ordered.
     pub(crate) started: bool,
+    /// Whether a run of it has ended, so that something of it has run.
+    pub(crate) ran: bool,
     /// Its place among the jobs with work to start.
     pub(crate) rank: Option<Rank>,
 }
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -25,7 +25,7 @@
 
 /// The items that most callers need.
 pub mod prelude {
-    pub use crate::dispatcher::{AdmitRefusal, Dispatcher, JobStage};
+    pub use crate::dispatcher::{AdmitRefusal, Dispatcher, JobStage, Withdrawal};
     pub use crate::order::{
         EndVerdict, Inventory, Order, RefusalReason, Room, RunEnd, RunReport, SessionId,
         StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -258,3 +258,81 @@
     gateway.tell(1, 0, [work(60), 0, 0, 0]);
     assert!(!admits(&mut gateway));
 }
+
+impl Gateway {
+    fn refuse(&mut self, agent: u64, task: TaskKey, reason: RefusalReason) {
+        let session = self.sessions[usize::try_from(agent).expect("a small number")];
+        let run = RunNumber::default().next_unrecorded();
+        let agent = AgentId(agent);
+        self.dispatcher
+            .start_refused(self.now, agent, session, task, run, reason);
+    }
+}
+
+/// A gateway with a job of two tasks that were ordered at a full instance.
+fn two_waiting_there() -> Gateway {
+    let mut gateway = Gateway::new(1);
+    gateway.tell(0, 0, [0; URGENCY_LEVELS]);
+    gateway.submit("later", 1, job(2, 6_000, 200));
+    assert_eq!(gateway.poll().len(), 2);
+    gateway
+}
+
+#[test]
+fn a_job_whose_tasks_all_still_wait_at_instances_is_known_not_to_have_run() {
+    let mut gateway = two_waiting_there();
+    let now = gateway.now;
+    let first = gateway.dispatcher.withdraw(now, JobId(1));
+    assert_eq!(first, Withdrawal::Pending);
+    let orders = gateway.dispatcher.poll(now);
+    assert_eq!(orders[0].stops.len(), 2);
+    gateway.refuse(0, task(1, 0), RefusalReason::Withdrawn);
+    assert_eq!(gateway.dispatcher.take_withdrawn(), vec![]);
+    gateway.refuse(0, task(1, 1), RefusalReason::Withdrawn);
+    let withdrawn = gateway.dispatcher.take_withdrawn();
+    assert_eq!(withdrawn, vec![(JobId(1), Withdrawal::NotRun)]);
+}
+
+#[test]
+fn a_job_of_which_a_task_has_begun_may_have_run() {
+    let mut gateway = two_waiting_there();
+    let now = gateway.now;
+    gateway.dispatcher.withdraw(now, JobId(1));
+    gateway.refuse(0, task(1, 0), RefusalReason::Withdrawn);
+    let report = RunReport {
+        task: task(1, 1),
+        run: RunNumber::default().next_unrecorded(),
+        end: Some(RunEnd::Stopped),
+        took_ms: 5,
+    };
+    gateway.end(0, report);
+    let withdrawn = gateway.dispatcher.take_withdrawn();
+    assert_eq!(withdrawn, vec![(JobId(1), Withdrawal::MayHaveRun)]);
+}
+
+#[test]
+fn a_job_that_ran_before_or_is_handed_in_again_is_not_told_to_be_withdrawn() {
+    let mut gateway = Gateway::new(1);
+    half_done_and_late(&mut gateway);
+    let now = gateway.now;
+    let withdrawal = gateway.dispatcher.withdraw(now, JobId(1));
+    assert_eq!(withdrawal, Withdrawal::MayHaveRun);
+
+    let mut gateway = two_waiting_there();
+    gateway.dispatcher.withdraw(now, JobId(1));
+    gateway.book.forget(JobId(1));
+    gateway.submit("later", 1, job(2, 6_000, 200));
+    gateway.refuse(0, task(1, 0), RefusalReason::Withdrawn);
+    gateway.refuse(0, task(1, 1), RefusalReason::Withdrawn);
+    assert_eq!(gateway.dispatcher.take_withdrawn(), vec![]);
+}
+
+#[test]
+fn a_job_that_waits_at_its_gateway_has_not_run() {
+    let mut gateway = Gateway::new(1);
+    gateway.tell(0, 0, [work(5_000), 0, 0, 0]);
+    gateway.submit("later", 1, job(2, 6_000, 200));
+    assert_eq!(gateway.poll(), vec![]);
+    let withdrawal = gateway.dispatcher.withdraw(gateway.now, JobId(1));
+    assert_eq!(withdrawal, Withdrawal::NotRun);
+}
--- a/crates/hemlock_nodes/src/connector.rs
+++ b/crates/hemlock_nodes/src/connector.rs
@@ -98,10 +98,7 @@
         let mut seeds_read: Option<RuntimeInstant> = None;
         loop {
             let now = RuntimeInstant::now();
-            let learnt = self.learnt.borrow();
-            let mut addresses: BTreeSet<SocketAddr> =
-                learnt.iter().map(|id| keeper_address(*id)).collect();
-            drop(learnt);
+            let mut addresses = self.learnt_addresses();
             if seeds_read.is_none_or(|read| now >= read + SEEDS_PERIOD.as_std()) {
                 addresses.extend((self.seeds)());
                 seeds_read = Some(now);
@@ -154,6 +151,11 @@
         }
     }
 
+    fn learnt_addresses(&self) -> BTreeSet<SocketAddr> {
+        let learnt = self.learnt.borrow();
+        learnt.iter().map(|id| keeper_address(*id)).collect()
+    }
+
     fn learn(&self, members: impl Iterator<Item = KeeperId>) {
         let mut learnt = self.learnt.borrow_mut();
         learnt.extend(members);
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -4,7 +4,7 @@
 
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
-use hemlock_types::time::Instant;
+use hemlock_types::time::{DurationMs, Instant};
 use tokio::sync::oneshot;
 use tracing::info;
 
@@ -18,6 +18,21 @@
 /// When the caller of a job that couldn't be finished may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Longest wait for runners to confirm that nothing of a job has run: a round trip, and less than
+/// the time that is left for the answer to reach the caller.
+const WITHDRAWAL_PATIENCE: DurationMs = DurationMs::new(25);
+
+/// The answer for a job that has no result.
+fn answer_without_result(withdrawal: Withdrawal) -> CallerAnswer {
+    match withdrawal {
+        Withdrawal::NotRun => CallerAnswer::Rejected {
+            reason: Rejection::Overload,
+            retry_after_ms: RETRY_AFTER_MS,
+        },
+        Withdrawal::MayHaveRun | Withdrawal::Pending => CallerAnswer::Undecided,
+    }
+}
+
 /// A job that a caller hands in.
 pub(super) struct Submission<'a> {
     pub(super) id: JobId,
@@ -169,10 +184,10 @@
     }
 
     /// Stops a job. It may be handed in and run again.
-    fn drop_job(&mut self, now: Instant, id: JobId) {
+    fn drop_job(&mut self, now: Instant, id: JobId) -> Withdrawal {
         self.apply(now, Command::Cancel(id));
         self.book.forget(id);
-        self.dispatcher.job_ended(id);
+        self.dispatcher.withdraw(now, id)
     }
 
     fn answer(&mut self, now: Instant, id: JobId, answer: CallerAnswer) {
@@ -188,6 +203,7 @@
 
     /// Gives up what can't be finished in time, and returns the orders that are due.
     pub(super) fn step(&mut self, now: Instant) -> Vec<Order> {
+        self.answer_withdrawn(now);
         let orders = self.dispatcher.poll(now);
         let hopeless = self.dispatcher.hopeless_jobs();
         if hopeless.is_empty() && self.answer_times.first().is_none_or(|(at, _)| *at > now) {
@@ -210,19 +226,28 @@
             .collect()
     }
 
-    /// Answers the caller of a job that won't be finished, and stops the job.
+    /// Stops a job that won't be finished, and answers its caller once it is known whether anything
+    /// of it has run, or soon.
     fn give_up(&mut self, now: Instant, id: JobId, cause: &'static str) {
-        let started = self.dispatcher.stage(id) != Some(JobStage::Pending);
-        info!(event = "job-given-up", job = %id, cause, started);
-        let answer = match started {
-            true => CallerAnswer::Undecided,
-            false => CallerAnswer::Rejected {
-                reason: Rejection::Overload,
-                retry_after_ms: RETRY_AFTER_MS,
-            },
-        };
-        self.answer(now, id, answer);
-        self.drop_job(now, id);
+        let withdrawal = self.drop_job(now, id);
+        info!(event = "job-given-up", job = %id, cause, withdrawal = ?withdrawal);
+        match withdrawal {
+            Withdrawal::Pending => {
+                if let Some(waiter) = self.waiters.get_mut(&id) {
+                    self.answer_times.remove(&(waiter.answer_by, id));
+                    waiter.answer_by = now + WITHDRAWAL_PATIENCE;
+                    self.answer_times.insert((waiter.answer_by, id));
+                }
+            }
+            known => self.answer(now, id, answer_without_result(known)),
+        }
+    }
+
+    fn answer_withdrawn(&mut self, now: Instant) {
+        for (id, withdrawal) in self.dispatcher.take_withdrawn() {
+            info!(event = "job-withdrawn", job = %id, withdrawal = ?withdrawal);
+            self.answer(now, id, answer_without_result(withdrawal));
+        }
     }
 
     /// Gives up every job.
