--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -67,6 +67,8 @@
     record_clock: (u64, Instant),
     drain_until: Option<Instant>,
     failure: Option<CoordinatorError>,
+    /// The part that this keeper takes, and the leader, as last written to the log.
+    belief: (QuorumRole, Option<KeeperId>),
 }
 
 impl Control {
@@ -105,6 +107,7 @@
             record_clock: (0, Instant::ZERO),
             drain_until: None,
             failure: None,
+            belief: (QuorumRole::Follower, None),
         }
     }
 
@@ -185,12 +188,29 @@
                     action => self.do_action(action)?,
                 }
             }
+            self.note_belief();
             if !work.is_empty() {
                 self.disk.hand_over(work);
             }
         }
     }
 
+    /// Writes a line when this keeper takes another part, or follows another leader.
+    fn note_belief(&mut self) {
+        let belief = (self.quorum.role(), self.quorum.leader());
+        if belief == self.belief {
+            return;
+        }
+        self.belief = belief;
+        info!(
+            event = "role-changed",
+            role = ?belief.0,
+            leader = belief.1.map(|leader| leader.0),
+            term = self.quorum.term().0,
+            leader_silent_ms = self.quorum.leader_silence().as_ms(),
+        );
+    }
+
     fn do_action(&mut self, action: Action) -> Result<(), CoordinatorError> {
         match action {
             Action::Send { to, message } => self.peers.send(to, message),
--- a/crates/hemlock_quorum/src/quorum.rs
+++ b/crates/hemlock_quorum/src/quorum.rs
@@ -30,7 +30,7 @@
 use crate::log::Log;
 use crate::message::{Body, Message};
 use crate::snapshot::{Snapshot, SnapshotHead};
-use crate::status::{FollowerStatus, QuorumStatus};
+use crate::status::{FollowerStatus, QuorumRole, QuorumStatus};
 use founding::Founding;
 use role_state::RoleState;
 use snapshots::Incoming;
@@ -251,6 +251,24 @@
         self.leader
     }
 
+    /// What this keeper does in its term.
+    pub fn role(&self) -> QuorumRole {
+        self.role.role()
+    }
+
+    /// The term, as far as this keeper knows.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// How long this keeper has not heard a leader, as of the last event.
+    pub fn leader_silence(&self) -> DurationMs {
+        let heard_us = self.quiet_until.as_micros();
+        let quiet_us = self.config.election_min_ms * 1_000;
+        let heard = Instant::from_micros(heard_us.saturating_sub(quiet_us));
+        self.now.since(heard)
+    }
+
     /// When the next [`Event::Tick`] is due.
     pub fn next_deadline(&self) -> Instant {
         match &self.role {
