Split the random world by its parts; drop functions without a caller

Cause: the world of gateways, runners and instances had grown to 790 lines; three functions of the dispatcher had no caller left.

--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -286,22 +286,11 @@
         steps.map(|step| step.waiting.len()).sum()
     }
 
-    /// Runs that take room at any instance.
-    pub fn running_tasks(&self) -> usize {
-        self.agents.values().map(|agent| agent.runs.len()).sum()
-    }
-
     /// Open jobs.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
     }
 
-    /// Agents in session.
-    pub fn agents_in_session(&self) -> usize {
-        let in_session = |agent: &&Agent| agent.session.is_some();
-        self.agents.values().filter(in_session).count()
-    }
-
     fn in_session(&mut self, id: AgentId, session: SessionId) -> Option<&mut Agent> {
         self.agents
             .get_mut(&id)
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -245,11 +245,6 @@
             Some(_) => Vec::new(),
         }
     }
-
-    /// Whether an agent of an earlier leader may still run an unknown task.
-    pub fn is_taking_over(&self) -> bool {
-        self.takeover_until.is_some()
-    }
 }
 
 fn release_unknown_tasks(id: JobId, job: &mut crate::job::Job) {
--- /dev/null
+++ b/crates/hemlock_runs/tests/world/gateways.rs
@@ -0,0 +1,88 @@
+//! Callers and gateways.
+
+use bytes::Bytes;
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use rand::RngExt;
+
+use super::{GATEWAYS, JOBS_PER_STEP, Message, PING_MS, World, needs, work_ms};
+
+impl World {
+    pub(super) fn submit(&mut self) {
+        let due: Vec<JobId> = self
+            .again
+            .iter()
+            .filter(|(at_ms, _)| *at_ms <= self.now_ms)
+            .map(|(_, id)| *id)
+            .collect();
+        self.again.retain(|(at_ms, _)| *at_ms > self.now_ms);
+        for id in due {
+            self.hand_in(id);
+        }
+        if self.next_job != u64::MAX && self.rng.random_bool(JOBS_PER_STEP) {
+            let id = JobId(self.next_job);
+            self.next_job += 1;
+            self.submitted += 1;
+            self.hand_in(id);
+        }
+    }
+
+    pub(super) fn hand_in(&mut self, id: JobId) {
+        let now = self.now();
+        let index = self.rng.random_range(0..GATEWAYS);
+        let mut step = StepSpec::new(1 + (id.0 % 4) as u16);
+        step.needs = needs();
+        step.estimate_ms = work_ms(id);
+        let spec = JobSpec::new(Bytes::new(), vec![step]).with_best_effort(true);
+        let acceptance = Acceptance::new(id, "q", "s", 3, spec);
+        let gateway = &mut self.gateways[index as usize];
+        let accept = Command::Accept(Box::new(acceptance));
+        gateway.book.apply(&Batch::new(self.now_ms, vec![accept]));
+        if let Some(open) = gateway.book.job(id).and_then(JobRecord::open) {
+            gateway.dispatcher.job_accepted(now, id, "q", open);
+        }
+        self.open.insert(id, index);
+    }
+
+    pub(super) fn take_end(&mut self, index: u64, report: RunReport, verdict: EndVerdict) {
+        let EndVerdict::Record(end) = verdict else {
+            return;
+        };
+        let now = self.now();
+        let gateway = &mut self.gateways[index as usize];
+        let command = Command::End(report.task, report.run, end);
+        let batch = Batch::new(self.now_ms, vec![command]);
+        match gateway.book.apply(&batch)[0] {
+            Applied::Ended(_) => {
+                gateway.dispatcher.job_ended(report.task.job);
+                if self.open.get(&report.task.job) == Some(&index) {
+                    self.open.remove(&report.task.job);
+                    self.ended += 1;
+                }
+            }
+            _ => gateway
+                .dispatcher
+                .end_recorded(now, report.task, report.run, end),
+        }
+    }
+
+    pub(super) fn step_gateway(&mut self, index: u64) {
+        let now = self.now();
+        let gateway = &mut self.gateways[index as usize];
+        let orders = gateway.dispatcher.poll(now);
+        let ping = self.now_ms >= gateway.next_ping_ms;
+        let sessions = gateway.sessions.clone();
+        if ping {
+            gateway.next_ping_ms = self.now_ms + PING_MS;
+        }
+        for order in orders {
+            let key = (index, order.agent.0);
+            self.send(key, true, Message::Order(order));
+        }
+        if ping {
+            for (runner, session) in sessions {
+                self.send((index, runner), true, Message::Ping(session));
+            }
+        }
+    }
+}
