Let the lease lapse over ends that no leader can record

After the agent's authority and the longest lease the leader started the tasks elsewhere; when the cut healed the runner settled the ends, which made the tasks done twice.

Change: while ends wait to be recorded and the leader's authority here is over, the lease is not extended until it has lapsed. It lapses before the leader starts the task elsewhere, and an end over which the lease has lapsed counts for nothing.

Test: the new one in hemlock_runs fails before.

--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -10,7 +10,7 @@
 //! use hemlock_types::prelude::*;
 //!
 //! let runs = Runs::new(RunsSettings::default(), 1, Instant::ZERO);
-//! assert!(runs.may_renew());
+//! assert!(runs.may_renew(Instant::ZERO));
 //! ```
 
 pub mod driver;
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -141,6 +141,8 @@
     pub(crate) report: RunReport,
     pub(crate) owner: Option<Owner>,
     pub(crate) settled: bool,
+    /// Whether the lease has lapsed since: the end counts for nothing any more.
+    pub(crate) outlived: bool,
 }
 
 /// A reading of the instance's clock.
@@ -272,11 +274,31 @@
     }
 
     /// Whether the lease may be extended. While a stop isn't answered, only the lease makes sure that
-    /// its run ends: its caller may hand the job in again soon.
-    pub fn may_renew(&self) -> bool {
+    /// its run ends: its caller may hand the job in again soon. While ends wait for a leader that
+    /// isn't there, only a lapse makes sure that they count for nothing once their tasks are started
+    /// elsewhere.
+    pub fn may_renew(&self, now: Instant) -> bool {
         let unanswered =
             |entry: &Entry| matches!(entry.phase, Phase::Stopping { accepted: None, .. });
-        !self.table.values().any(unanswered)
+        !self.table.values().any(unanswered) && !self.holds_ends_without_leader(now)
+    }
+
+    /// Whether ends must be recorded and no leader has authority here that could record them.
+    fn holds_ends_without_leader(&self, now: Instant) -> bool {
+        let authority = DurationMs::new(self.settings.leader_authority_ms);
+        let leader = self.owners.get(&Owner::Leader);
+        let has_authority = leader.is_some_and(|leader| now <= leader.heard + authority);
+        let waits = |end: &NumberedEnd| !end.settled && !end.outlived;
+        !has_authority && self.ends.values().any(waits)
+    }
+
+    /// Marks the ends over which the lease has lapsed.
+    fn note_lapse(&mut self, now: Instant) {
+        let margin = DurationMs::new(LEASE_MARGIN_MS);
+        let lapsed = now > self.leased_at + self.longest_lease() + margin;
+        if lapsed && self.holds_ends_without_leader(now) {
+            self.ends.values_mut().for_each(|end| end.outlived = true);
+        }
     }
 
     /// The instance's clock, in milliseconds.
@@ -298,7 +320,7 @@
     /// owner may be gone, and however often this process is restarted, such a run then ends with its
     /// last lease.
     pub fn take_renewal(&mut self, now: Instant) -> Option<u64> {
-        let may_renew = self.may_renew() && !self.has_unclaimed() && self.is_answering(now);
+        let may_renew = self.may_renew(now) && !self.has_unclaimed() && self.is_answering(now);
         may_renew.then(|| self.extend_lease(now)).flatten()
     }
 
@@ -308,7 +330,7 @@
         if !self.is_answering(now) {
             return None;
         }
-        match self.may_renew() {
+        match self.may_renew(now) {
             true => self.extend_lease(now),
             false => {
                 let least_ms = self.clock_ms(now)? + self.settings.start_lease_min_ms;
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -81,6 +81,7 @@
                 report,
                 owner,
                 settled,
+                outlived: false,
             };
             self.ends.insert(ended.number, numbered);
             // Nobody but the leader can settle an end without an owner.
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -239,6 +239,7 @@
             self.drop_queued_of(owner);
             calls.extend(self.stop_runs_of(now, Some(owner)));
         }
+        self.note_lapse(now);
         calls.extend(self.stop_unclaimed(now));
         calls.extend(self.stop_stalled(now));
         calls.extend(self.take_stop_retries());
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -186,6 +186,29 @@
     assert!(bench.model.unsettled().is_empty());
 }
 
+#[test]
+fn ends_that_no_leader_can_record_are_kept_only_until_the_lease_has_lapsed() {
+    let mut bench = Bench::new();
+    bench.attach(Owner::Leader, 1, &[]);
+    bench.start(Owner::Leader, 1, 1, 6_000);
+    bench.model.end(task(1), RunEnd::Done);
+    bench.live_ms(1_900);
+    assert!(bench.runs.take_renewal(bench.now).is_some());
+    // The leader starts the task elsewhere once its authority and the longest lease are over. The
+    // end must count for nothing from then on, so the instance's lease has to lapse by then.
+    let authority_end = bench.now + DurationMs::new(100);
+    bench.live_ms(150);
+    assert_eq!(bench.runs.take_renewal(bench.now), None);
+    let settings = DispatchSettings::default();
+    let expiry = Instant::from_ms(1_000) + settings.expiry();
+    while bench.runs.take_renewal(bench.now).is_none() {
+        assert!(bench.now < expiry, "the lease lapses in time");
+        bench.live_ms(50);
+    }
+    assert!(bench.now > authority_end + bench.runs.longest_lease());
+    assert_eq!(bench.model.unsettled().len(), 1, "only a leader settles it");
+}
+
 #[test]
 fn a_gateways_ends_are_settled_at_once() {
     let mut bench = Bench::new();
@@ -374,12 +397,12 @@
     bench
         .runs
         .stop_answered(bench.now, &lost, StopResult::Unanswered);
-    assert!(!bench.runs.may_renew());
+    assert!(!bench.runs.may_renew(bench.now));
     assert_eq!(bench.runs.take_renewal(bench.now), None);
     // What is started meanwhile runs in what is left of the lease.
     bench.start(GATEWAY, 1, 2, 6_000);
     bench.advance_ms(401);
-    assert!(!bench.runs.may_renew());
+    assert!(!bench.runs.may_renew(bench.now));
     assert_eq!(bench.runs.take_renewal(bench.now), None);
     // Ends are heard of all the same.
     bench.runs.take_outbox();
