Keep a runner in session that the keepers don't hear

Change: a gateway follows a runner for as long as its session lasts, and drops one that the keepers don't know only once that session has ended.

--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -1,7 +1,7 @@
 //! Connections to all runners.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use hemlock_dispatch::prelude::*;
@@ -64,6 +64,10 @@
         (*number == session).then(|| link.clone())
     }
 
+    fn is_on(&self) -> bool {
+        self.session.borrow().is_some()
+    }
+
     async fn until_ended(&self, session: SessionId) {
         while self.link(session).is_some() {
             self.ended.notified().await;
@@ -77,10 +81,12 @@
     }
 }
 
-/// All runners that the keepers know.
+/// All runners that the keepers know, and those that are still in session.
 #[derive(Default)]
 pub(super) struct Runners {
     version: Cell<u64>,
+    /// The runners that the keepers know.
+    known: RefCell<BTreeSet<AgentId>>,
     links: RefCell<BTreeMap<AgentId, RunnerLink>>,
 }
 
@@ -89,14 +95,20 @@
     pub(super) fn version(&self) -> u64 {
         self.version.get()
     }
+
+    fn is_known(&self, agent: AgentId) -> bool {
+        self.known.borrow().contains(&agent)
+    }
 }
 
 impl Gateway {
-    /// Connects to these runners, and to no others.
+    /// Connects to these runners, and to no others. One that the keepers don't hear any more is kept
+    /// while its session lasts: it may be cut off from them alone, and goes on serving.
     pub(super) fn follow_runners(self: &Rc<Self>, version: u64, agents: Vec<AgentId>) {
         self.runners.version.set(version);
+        self.runners.known.replace(agents.iter().copied().collect());
         let mut links = self.runners.links.borrow_mut();
-        links.retain(|agent, _| agents.contains(agent));
+        links.retain(|agent, link| agents.contains(agent) || link.current.is_on());
         for agent in agents {
             links.entry(agent).or_insert_with(|| {
                 let current = Rc::default();
@@ -110,7 +122,7 @@
         }
     }
 
-    /// Keeps a session with one runner. Never returns.
+    /// Keeps a session with one runner, until the keepers don't know it.
     async fn follow(self: Rc<Self>, agent: AgentId, current: Rc<CurrentSession>) {
         // An agent's id is the address that it listens on, as a keeper's is.
         let address = keeper_address(KeeperId(agent.0));
@@ -129,6 +141,12 @@
                     pause = DurationMs::new(pause.as_ms() * 2).min(CONNECT_PAUSE_MAX);
                 }
             }
+            if !self.runners.is_known(agent) {
+                info!(event = "runner-dropped", agent = agent.0);
+                let link = self.runners.links.borrow_mut().remove(&agent);
+                drop(link);
+                return;
+            }
             tokio::time::sleep(pause.as_std()).await;
         }
     }
