Call no job not run whose runs were lost sight of

With a runner cut off one way a gateway sends orders that are carried out, and hears nothing.

Change: runs that are given up unheard count as having run, perhaps.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -39,10 +39,7 @@
             .get_mut(&id)
             .and_then(|agent| agent.remove_run(task, number));
         self.placement_due = true;
-        self.withdrawals.note_ended(task);
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.ran = true;
-        }
+        self.note_may_have_run(task);
         match (self.task_state(task), end) {
             (Some(TaskState::Running(agent, run)), _) if agent == id && run == number => {}
             // Told again before the record of the first telling is known to be durable.
@@ -173,6 +170,20 @@
         self.run_is_over(id, task, number);
     }
 
+    /// Notes that something of a task's job has run, or may have.
+    fn note_may_have_run(&mut self, task: TaskKey) {
+        self.withdrawals.note_ended(task);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.ran = true;
+        }
+    }
+
+    /// Notes that a run is over of which it isn't known how it ended, or whether it began.
+    pub(super) fn run_is_lost(&mut self, id: AgentId, task: TaskKey, number: RunNumber) {
+        self.note_may_have_run(task);
+        self.run_is_over(id, task, number);
+    }
+
     /// Notes that a run is over without an end that counts.
     pub(super) fn run_is_over(&mut self, id: AgentId, task: TaskKey, number: RunNumber) {
         if let Some(agent) = self.agents.get_mut(&id) {
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -70,7 +70,7 @@
         };
         for (task, run) in known {
             if !named(task, run) {
-                self.run_is_over(id, task, run);
+                self.run_is_lost(id, task, run);
             }
         }
         self.unheard.remove(&id);
@@ -215,7 +215,7 @@
             .map(|(task, run)| (*task, run.number))
             .collect();
         for (task, run) in runs {
-            self.run_is_over(id, task, run);
+            self.run_is_lost(id, task, run);
         }
     }
 
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -91,7 +91,7 @@
     pub(crate) caller_leaves_at: Option<Instant>,
     /// Whether the start of a task has been ordered.
     pub(crate) started: bool,
-    /// Whether a run of it has ended, so that something of it has run.
+    /// Whether something of it has run, or may have.
     pub(crate) ran: bool,
     /// Its place among the jobs with work to start.
     pub(crate) rank: Option<Rank>,
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -336,3 +336,28 @@
     let withdrawal = gateway.dispatcher.withdraw(gateway.now, JobId(1));
     assert_eq!(withdrawal, Withdrawal::NotRun);
 }
+
+#[test]
+fn a_job_whose_runs_were_lost_sight_of_may_have_run() {
+    let mut gateway = two_waiting_there();
+    // Nothing is heard of the agent until none of its runs can be alive.
+    gateway.now += DispatchSettings::default().expiry();
+    gateway.poll();
+    assert_eq!(gateway.dispatcher.runs_of(AgentId(0)), vec![]);
+    let withdrawal = gateway.dispatcher.withdraw(gateway.now, JobId(1));
+    assert_eq!(withdrawal, Withdrawal::MayHaveRun);
+}
+
+#[test]
+fn a_job_whose_runs_are_lost_sight_of_while_it_is_taken_back_may_have_run() {
+    let mut gateway = two_waiting_there();
+    let now = gateway.now;
+    assert_eq!(
+        gateway.dispatcher.withdraw(now, JobId(1)),
+        Withdrawal::Pending
+    );
+    gateway.now += DispatchSettings::default().expiry();
+    gateway.poll();
+    let withdrawn = gateway.dispatcher.take_withdrawn();
+    assert_eq!(withdrawn, vec![(JobId(1), Withdrawal::MayHaveRun)]);
+}
--- /dev/null
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -0,0 +1,187 @@
+//! A gateway between a keeper and a runner that the keeper hears or doesn't.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_nodes::message::{Reply, Request, RunnerReply, RunnerRequest};
+use hemlock_nodes::prelude::*;
+use hemlock_types::prelude::*;
+use hemlock_wire::prelude::*;
+use tokio::task::LocalSet;
+
+const CLUSTER: &str = "test";
+/// Longest time that anything may take here.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn identity(role: Role, id: u64) -> Rc<Identity> {
+    Rc::new(Identity {
+        role,
+        incarnation: Incarnation(id),
+        id,
+        cluster: CLUSTER.to_owned(),
+        key: ClusterKey::new("key"),
+    })
+}
+
+/// Leads, and tells gateways of the agents that it knows.
+#[derive(Default)]
+struct Keeper {
+    agents: RefCell<BTreeSet<AgentId>>,
+    version: Cell<u64>,
+    watched: Cell<u64>,
+}
+
+impl Keeper {
+    fn set_agents(&self, agents: impl IntoIterator<Item = AgentId>) {
+        self.agents.replace(agents.into_iter().collect());
+        self.version.set(self.version.get() + 1);
+    }
+
+    fn reply(&self, request: &Request) -> Reply {
+        match request {
+            Request::WhoLeads => Reply::Leads {
+                here: true,
+                leader: None,
+                members: Vec::new(),
+            },
+            Request::Watch { agents, .. } => {
+                self.watched.set(*agents);
+                let known = self.agents.borrow().iter().copied().collect();
+                let newer = *agents != self.version.get();
+                Reply::Watched {
+                    configuration: None,
+                    agents: newer.then(|| (self.version.get(), known)),
+                }
+            }
+            _ => Reply::NotLeader,
+        }
+    }
+}
+
+impl Service for Keeper {
+    fn answer(
+        &self,
+        _: Peer,
+        frame: Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, ServiceError>> {
+        let reply = decode::<Request>(&frame).map(|request| self.reply(&request));
+        async move {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            Ok(encode(&reply?)?)
+        }
+        .boxed_local()
+    }
+}
+
+/// Takes gateways' sessions, and counts what it is asked.
+#[derive(Default)]
+struct RunnerStandin {
+    attached: Cell<usize>,
+    pings: Cell<usize>,
+    open: Cell<usize>,
+    /// Whether it calls every session void.
+    ends_sessions: Cell<bool>,
+}
+
+impl Service for RunnerStandin {
+    fn answer(
+        &self,
+        _: Peer,
+        frame: Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, ServiceError>> {
+        let reply = decode::<RunnerRequest>(&frame).map(|request| match request {
+            RunnerRequest::Attach(..) => {
+                self.attached.set(self.attached.get() + 1);
+                RunnerReply::Attached(Inventory::default(), Room::default())
+            }
+            RunnerRequest::Ping(_) if self.ends_sessions.get() => RunnerReply::VoidSession,
+            RunnerRequest::Ping(_) => {
+                self.pings.set(self.pings.get() + 1);
+                RunnerReply::Alive(Room::default())
+            }
+            RunnerRequest::Order(_) => RunnerReply::Ordered(Vec::new(), Room::default()),
+        });
+        async move { Ok(encode(&reply?)?) }.boxed_local()
+    }
+
+    fn opened(&self, _: Peer, _: Link) {
+        self.open.set(self.open.get() + 1);
+    }
+
+    fn closed(&self, _: Peer) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Serves for as long as the test runs.
+async fn start(service: Rc<dyn Service>, role: Role) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("loopback has ports");
+    let address = listener.local_addr().expect("it is bound");
+    let serving = serve(listener, identity(role, 1), service, std::future::pending());
+    tokio::task::spawn_local(serving);
+    address
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let done = tokio::time::timeout(PATIENCE, waiting).await;
+    done.unwrap_or_else(|_| panic!("waited too long until {what}"));
+}
+
+#[test]
+fn a_runner_that_the_keepers_do_not_hear_is_kept_while_its_session_lasts() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let keeper = Rc::new(Keeper::default());
+        let runner = Rc::new(RunnerStandin::default());
+        let as_service = Rc::clone(&keeper) as Rc<dyn Service>;
+        let keeper_address = start(as_service, Role::Keeper).await;
+        let as_service = Rc::clone(&runner) as Rc<dyn Service>;
+        let runner_address = start(as_service, Role::Agent).await;
+        keeper.set_agents([AgentId(keeper_id(runner_address).0)]);
+        let gateway = Gateway::new(GatewaySettings {
+            identity: Identity::clone(&identity(Role::Entry, 2)),
+            seeds: Rc::new(move || vec![keeper_address]),
+            patience_ms: 100,
+            lease_ms: 1_000,
+        });
+        let running = Rc::clone(&gateway);
+        tokio::task::spawn_local(async move { running.run().await });
+        until("the runner is attached", || runner.attached.get() == 1).await;
+
+        // A new leader has not heard the runner: it is cut off from the keepers alone.
+        keeper.set_agents([]);
+        until("the gateway knows", || keeper.watched.get() == 2).await;
+        let pings = runner.pings.get();
+        until("the session goes on", || runner.pings.get() > pings + 1).await;
+        assert_eq!((runner.attached.get(), runner.open.get()), (1, 1));
+
+        // Once its session is over nobody follows it, until the keepers name it again.
+        runner.ends_sessions.set(true);
+        until("the connection is closed", || runner.open.get() == 0).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(runner.attached.get(), 1, "the gateway stays away");
+        runner.ends_sessions.set(false);
+        keeper.set_agents([AgentId(keeper_id(runner_address).0)]);
+        until("the runner is attached again", || {
+            runner.attached.get() == 2
+        })
+        .await;
+    });
+}
