Wait for seeds instead of spinning when none is usable

Cause: found in the re-read of the diff. With no address to ask, the queue of questions is empty and its next item is there at once, so the search for a leader would have gone round without a pause and kept its thread from all else. The platform's settings refuse an empty list of seeds; other users of the connector have no such guard.

Change: the pause between two looks is a branch of its own. With addresses nothing changes.

--- a/crates/hemlock_nodes/src/connector.rs
+++ b/crates/hemlock_nodes/src/connector.rs
@@ -107,10 +107,12 @@
                 .into_iter()
                 .filter(|address| asked.insert(*address));
             asking.extend(unasked.map(|address| self.ask_until_leading(address)));
-            let next = tokio::time::timeout(ASK_PAUSE.as_std(), asking.next()).await;
-            if let Ok(Some(connection)) = next {
-                self.leader.send_replace(Some(connection.link.clone()));
-                return connection;
+            tokio::select! {
+                Some(connection) = asking.next() => {
+                    self.leader.send_replace(Some(connection.link.clone()));
+                    return connection;
+                }
+                () = tokio::time::sleep(ASK_PAUSE.as_std()) => {}
             }
         }
     }
