Add a share, a pace and a remote factor to the dispatcher's inputs

The share is the equal one that admission calculated before, the pace is unknown and the remote factor comes from the platform's settings and is not used yet, so no decision changes. The replay takes preferred racks, hot keys, long tasks and a result for each gateway.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -91,11 +91,10 @@
         // The short queue of an instance that receives no work must not lower the expected wait.
         let healthy = |agent: &&Agent| agent.health.admits(self.now, agent.runs.len());
         let agents: Vec<&Agent> = agents.filter(own_service).filter(healthy).collect();
-        // CPU that this dispatcher can count on: an equal share of each instance among its owners.
+        // CPU that this dispatcher can count on: its reported share of instances that are shared.
         let share = |agent: &&Agent| {
             let capacity = agent.instance.as_ref().map_or(0, |i| i.capacity.cpu_milli);
-            let owners = agent.load.map_or(1, |load| load.owners.max(1));
-            capacity / u64::from(owners)
+            agent.load.map_or(capacity, |load| load.share_cpu_milli)
         };
         let share: u64 = agents.iter().map(share).sum();
         if share == 0 {
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -148,6 +148,11 @@
     pub slowest_percent: u32,
     /// Number of owners that order starts at the instance.
     pub owners: u32,
+    /// CPU of the instance that the owner may count on, in milli-cores.
+    pub share_cpu_milli: u64,
+    /// Mean ratio of the actual to the expected duration of recent runs, in percent. Zero if
+    /// unknown.
+    pub pace_percent: u32,
     /// Sequence number of the owner's last order that the report takes into account.
     pub last_order: u64,
     /// Expected times until the next runs end, in ascending order and in milliseconds. Zero for each
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -36,6 +36,9 @@
     pub admit_slack_share: f64,
     /// Shortest retry delay given to rejected callers, in milliseconds.
     pub retry_after_min_ms: u64,
+    /// Ratio of a task's duration on another rack than the one that it prefers to that on the
+    /// preferred one; 1 if unknown.
+    pub remote_factor: f64,
 }
 
 impl Default for DispatchSettings {
@@ -49,6 +52,7 @@
             expire_after_objectives: 3.0,
             admit_slack_share: 0.5,
             retry_after_min_ms: 1_000,
+            remote_factor: 1.0,
         }
     }
 }
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -70,6 +70,8 @@
             queued_work,
             slowest_percent: 0,
             owners: 4,
+            share_cpu_milli: 64_000 / 4,
+            pace_percent: 0,
             last_order: 0,
             next_ends_ms: [next_end_ms; REPORTED_ENDS],
         };
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// Settings of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSettings {
+    /// Longest lease of a run, in milliseconds.
+    pub lease_ms: u64,
+    /// Ratio of a task's duration on another rack than the one that it prefers to that on the
+    /// preferred one; 1 if unknown.
+    pub remote_factor: f64,
+}
+
 /// A job that a caller submits.
 pub struct Submission<'a> {
     /// The job's id.
@@ -62,14 +72,15 @@
 
 impl Engine {
     /// Creates an engine without jobs or runners.
-    pub fn new(now: Instant, lease_ms: u64) -> Self {
+    pub fn new(now: Instant, engine_settings: EngineSettings) -> Self {
         let store = JobStore::new(RETENTION_MS);
         let settings = DispatchSettings {
             capacity: CapacitySource::Reported,
             // A best-effort job may run again regardless of how its earlier runs ended.
             records_ends: false,
             authority_ms: RUNNER_AUTHORITY_MS,
-            lease_ms,
+            lease_ms: engine_settings.lease_ms,
+            remote_factor: engine_settings.remote_factor,
             ..DispatchSettings::default()
         };
         let dispatcher = Dispatcher::new(now, settings, &store);
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 use crate::connector::{Connector, Seeds};
 use crate::message::{CallerAction, CallerAnswer, CallerRequest, Rejection};
 use crate::task_set::TaskSet;
-use engine::{Engine, Submission};
+use engine::{Engine, EngineSettings, Submission};
 use runners::Runners;
 use service::GatewayService;
 
@@ -38,8 +38,8 @@
     pub seeds: Seeds,
     /// Longest time that a request waits for a leader, in milliseconds.
     pub leader_timeout_ms: u64,
-    /// Longest lease of a run, in milliseconds.
-    pub lease_ms: u64,
+    /// Settings of the engine.
+    pub engine: EngineSettings,
     /// Most runners that the gateway follows. It places work only on these.
     pub max_runners: usize,
 }
@@ -73,7 +73,7 @@
                 service,
                 leader_timeout: DurationMs::new(settings.leader_timeout_ms),
                 max_runners: settings.max_runners,
-                engine: RefCell::new(Engine::new(clock.now(), settings.lease_ms)),
+                engine: RefCell::new(Engine::new(clock.now(), settings.engine)),
                 clock,
                 configuration: RefCell::default(),
                 runners: Runners::default(),
--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -33,6 +33,7 @@
         ConfigureAnswer, Coordinator, CoordinatorError, CoordinatorHandle, CoordinatorSettings,
         ReadAnswer,
     };
+    pub use crate::gateway::engine::EngineSettings;
     pub use crate::gateway::{Gateway, GatewaySettings};
     pub use crate::message::{CallerAction, CallerAnswer, CallerRequest, JobState, Rejection};
     pub use crate::runner::{Runner, RunnerError, RunnerSettings};
--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -146,7 +146,10 @@
         identity: Identity::clone(&identity(Role::Entry, 2)),
         seeds: Rc::new(move || vec![keeper_address]),
         leader_timeout_ms: 100,
-        lease_ms: 1_000,
+        engine: EngineSettings {
+            lease_ms: 1_000,
+            remote_factor: 1.0,
+        },
         max_runners,
     });
     tokio::task::spawn_local(async move { gateway.run().await });
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -4,7 +4,7 @@
 
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
-use hemlock_nodes::gateway::engine::Engine;
+use hemlock_nodes::gateway::engine::{Engine, EngineSettings};
 use hemlock_nodes::load_reports::{LoadReports, LoadSummary};
 use hemlock_nodes::message::{Report, RunnerUpdate};
 use hemlock_nodes::subset::choose_subset;
@@ -41,6 +41,11 @@
     }
 }
 
+/// Name of the rack of an instance.
+pub(super) fn rack_of(deployment: &Deployment, runner: usize) -> String {
+    format!("rack-{}", runner * deployment.racks / deployment.runners)
+}
+
 fn instance(deployment: &Deployment, runner: usize) -> InstanceReport {
     InstanceReport {
         id: InstanceId {
@@ -50,7 +55,7 @@
         service: "s".to_owned(),
         failure_domain: "a".to_owned(),
         capacity: capacity(deployment, runner),
-        labels: Vec::new(),
+        labels: vec![rack_of(deployment, runner)],
         draining: false,
     }
 }
@@ -85,7 +90,11 @@
         }
         let agents: BTreeSet<AgentId> = (0..self.deployment.runners).map(agent_id).collect();
         for gateway in 0..self.deployment.gateways {
-            let mut engine = Engine::new(now, LEASE_MS);
+            let settings = EngineSettings {
+                lease_ms: LEASE_MS,
+                remote_factor: self.deployment.remote_factor,
+            };
+            let mut engine = Engine::new(now, settings);
             engine.configure(&Configuration {
                 version: 1,
                 queues: self
@@ -175,7 +184,16 @@
         let durations = self.durations_ms.get(&task.job);
         let nominal_ms = durations.map_or(1, |durations| durations[usize::from(task.index)]);
         let slowness = &self.deployment.slowness;
-        let factor = slowness[runner % slowness.len()];
+        let is_remote = self
+            .preferred_racks
+            .get(&task.job)
+            .is_some_and(|rack| *rack != rack_of(&self.deployment, runner));
+        let remote_factor = if is_remote {
+            self.deployment.remote_factor
+        } else {
+            1.0
+        };
+        let factor = slowness[runner % slowness.len()] * remote_factor;
         let ends_us = self.now_us + (nominal_ms as f64 * 1_000.0 * factor) as u64;
         let needs = self.runners[runner]
             .runs
--- a/crates/hemlock_nodes/tests/replay/load.rs
+++ b/crates/hemlock_nodes/tests/replay/load.rs
@@ -11,6 +11,8 @@
 /// Time after the last submission for which the replay goes on.
 const DRAIN_US: u64 = 3_000_000;
 const START_US: u64 = 1_000_000;
+/// Ratio of the duration of long tasks to that of others.
+const TAIL_FACTOR: f64 = 7.0;
 
 /// A kind of job.
 #[derive(Clone, Debug)]
@@ -22,6 +24,8 @@
     pub(crate) cpu_milli: f64,
     /// Worth of a job of mean size that is answered in time.
     pub(crate) worth: f64,
+    /// Number of racks of which each job prefers one; zero for no preference.
+    pub(crate) preferred_racks: usize,
 }
 
 /// A time in which more jobs of a kind are submitted.
@@ -33,11 +37,23 @@
     pub(crate) to_ms: u64,
 }
 
+/// A time in which a share of a kind's jobs prefers the same rack.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HotKey {
+    pub(crate) kind: usize,
+    pub(crate) share: f64,
+    pub(crate) from_ms: u64,
+    pub(crate) to_ms: u64,
+}
+
 /// The load of a replay.
 #[derive(Clone, Debug)]
 pub(crate) struct Load {
     pub(crate) kinds: Vec<JobKind>,
     pub(crate) bursts: Vec<Burst>,
+    pub(crate) hot_key: Option<HotKey>,
+    /// Share of the tasks that take [`TAIL_FACTOR`] times as long as others.
+    pub(crate) tail_share: f64,
     pub(crate) length_ms: u64,
 }
 
@@ -76,6 +92,7 @@
             mean_ms,
             cpu_milli: cores * 1_000.0,
             worth,
+            preferred_racks: 0,
         };
         Self {
             kinds: vec![
@@ -84,10 +101,35 @@
                 kind("posting", 1, 100.0, 2.0, 200.0, 0.01),
             ],
             bursts: Vec::new(),
+            hot_key: None,
+            tail_share: 0.0,
             length_ms,
         }
     }
 
+    /// Lets each job of a kind prefer one of a number of racks.
+    pub(crate) fn prefer_racks(&mut self, kind: usize, racks: usize) {
+        self.kinds[kind].preferred_racks = racks;
+    }
+
+    /// The rack that a job submitted at this time prefers, if any.
+    fn preferred_rack(&self, rng: &mut impl RngExt, kind: usize, at_ms: u64) -> Option<String> {
+        let racks = self.kinds[kind].preferred_racks;
+        if racks == 0 {
+            return None;
+        }
+        let hot = self.hot_key.filter(|hot| {
+            hot.kind == kind
+                && (hot.from_ms..hot.to_ms).contains(&at_ms)
+                && rng.random_range(0.0..1.0) < hot.share
+        });
+        let rack = match hot {
+            Some(_) => 0,
+            None => rng.random_range(0..racks),
+        };
+        Some(format!("rack-{rack}"))
+    }
+
     pub(crate) fn end_us(&self) -> u64 {
         START_US + self.length_ms * 1_000 + DRAIN_US
     }
@@ -149,14 +191,24 @@
         let width = width.clamp(1.0, description.mean_width * 4.0) as u16;
         let work_ms = description.mean_ms * spread(&mut self.rng, 0.4);
         let cpu_milli = (description.cpu_milli * spread(&mut self.rng, 0.2)) as u64;
+        let tail_share = self.load.tail_share;
         let durations_ms: Vec<u64> = (0..width)
-            .map(|_| (work_ms * spread(&mut self.rng, 0.15)).max(1.0) as u64)
+            .map(|_| {
+                let is_long = tail_share > 0.0 && self.rng.random_range(0.0..1.0) < tail_share;
+                let tail_factor = if is_long { TAIL_FACTOR } else { 1.0 };
+                (work_ms * tail_factor * spread(&mut self.rng, 0.15)).max(1.0) as u64
+            })
             .collect();
         let longest_ms = durations_ms.iter().copied().max().unwrap_or(0);
         let mut step = StepSpec::new(width);
         step.needs.cpu_milli = cpu_milli.max(1);
         step.needs.memory_mb = 64;
         step.estimate_ms = (work_ms * self.rng.random_range(0.6..1.4)) as u64;
+        let at_ms = (at_us - START_US) / 1_000;
+        step.preferred_rack = self.load.preferred_rack(&mut self.rng, kind, at_ms);
+        if let Some(rack) = &step.preferred_rack {
+            self.preferred_racks.insert(id, rack.clone());
+        }
         self.durations_ms.insert(id, durations_ms);
         let mut spec = JobSpec::new(Bytes::from_static(b"work"), vec![step]);
         spec.best_effort = true;
--- a/crates/hemlock_nodes/tests/replay/mod.rs
+++ b/crates/hemlock_nodes/tests/replay/mod.rs
@@ -22,7 +22,7 @@
 use rand_pcg::Pcg32;
 use tokio::sync::oneshot;
 
-pub(crate) use load::{Burst, Load};
+pub(crate) use load::{Burst, HotKey, Load};
 pub(crate) use result::ReplayResult;
 
 /// Sizes, delays and costs of the simulated deployment.
@@ -44,6 +44,11 @@
     pub(crate) runner_message_us: u64,
     /// Uneven share of the load by gateway; the weights are assigned in turn.
     pub(crate) gateway_weights: Vec<f64>,
+    /// Number of racks, to which the instances are assigned in blocks.
+    pub(crate) racks: usize,
+    /// Ratio of a task's duration on another rack than the one that it prefers to that on the
+    /// preferred one.
+    pub(crate) remote_factor: f64,
 }
 
 /// A message with its receiver.
@@ -101,6 +106,8 @@
     runners: Vec<Runner>,
     /// Nominal duration of each job's tasks, in milliseconds.
     durations_ms: BTreeMap<JobId, Vec<u64>>,
+    /// The racks that jobs prefer.
+    preferred_racks: BTreeMap<JobId, String>,
     result: ReplayResult,
 }
 
@@ -116,6 +123,7 @@
             gateways: Vec::new(),
             runners: Vec::new(),
             durations_ms: BTreeMap::new(),
+            preferred_racks: BTreeMap::new(),
             result: ReplayResult::new(&load),
             deployment,
             load,
@@ -195,7 +203,7 @@
             }
             Err(answer) => self
                 .result
-                .answered(&self.load, &arrival, self.now_us, &answer),
+                .answered(gateway, &arrival, self.now_us, &answer),
         }
         self.step_gateway(gateway);
     }
@@ -221,7 +229,7 @@
             });
         for (arrival, answer) in answered {
             self.result
-                .answered(&self.load, &arrival, self.now_us, &answer);
+                .answered(gateway, &arrival, self.now_us, &answer);
         }
         let deadline_us = self.gateways[gateway].engine.next_deadline().as_micros();
         let due_us = deadline_us.max(self.now_us + 1_000);
--- a/crates/hemlock_nodes/tests/replay/result.rs
+++ b/crates/hemlock_nodes/tests/replay/result.rs
@@ -1,5 +1,6 @@
 //! What the callers of a replay saw.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use hemlock_jobs::prelude::JobOutcome;
@@ -24,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReplayResult {
     pub(crate) kinds: Vec<KindResult>,
+    /// Worth of all jobs of each gateway's callers, and how much of it was earned.
+    pub(crate) gateways: BTreeMap<usize, (f64, f64)>,
     /// Messages that a gateway received, each second.
     pub(crate) gateway_messages_per_s: f64,
     pub(crate) used_milli_us: u64,
@@ -43,12 +46,13 @@
 
     pub(super) fn answered(
         &mut self,
-        _: &Load,
+        gateway: usize,
         arrival: &Arrival,
         now_us: u64,
         answer: &CallerAnswer,
     ) {
         let kind = &mut self.kinds[arrival.kind];
+        let earned_before = kind.earned;
         kind.asked += 1;
         kind.worth += arrival.worth;
         let took_us = now_us - arrival.at_us;
@@ -65,6 +69,15 @@
             CallerAnswer::Rejected { .. } if took_us < 20_000 => kind.rejected += 1,
             _ => kind.given_up += 1,
         }
+        let (worth, earned) = self.gateways.entry(gateway).or_default();
+        *worth += arrival.worth;
+        *earned += kind.earned - earned_before;
+    }
+
+    /// Share of the worth of a gateway's jobs that was earned.
+    pub(crate) fn gateway_share(&self, gateway: usize) -> f64 {
+        let (worth, earned) = self.gateways[&gateway];
+        earned / worth
     }
 
     /// Share of the worth of all jobs that was earned.
--- a/crates/hemlock_nodes/tests/replay_load.rs
+++ b/crates/hemlock_nodes/tests/replay_load.rs
@@ -5,7 +5,7 @@
 
 mod replay;
 
-use replay::{Burst, Deployment, Load, Replay, ReplayResult};
+use replay::{Burst, Deployment, HotKey, Load, Replay, ReplayResult};
 
 const SEARCH: usize = 0;
 const BOOKING: usize = 1;
@@ -23,6 +23,8 @@
         gateway_message_us: 150,
         runner_message_us: 100,
         gateway_weights: vec![1.0, 2.0, 0.5],
+        racks: 7,
+        remote_factor: 3.0,
     }
 }
 
@@ -39,9 +41,86 @@
         gateway_message_us: 290,
         runner_message_us: 230,
         gateway_weights: vec![0.0, 1.0, 2.0, 1.0, 1.0, 3.0, 0.0, 2.0, 1.0, 2.0],
+        racks: 12,
+        remote_factor: 3.0,
     }
 }
 
+/// Twelve gateways that share 68 instances of ten to fifteen tasks each. Callers of three classes
+/// compete for too little room at times.
+fn competing() -> Deployment {
+    Deployment {
+        gateways: 12,
+        runners: 68,
+        subset: 32,
+        capacities_milli: vec![32_000, 32_000, 48_000],
+        slowness: vec![1.0, 1.0, 0.77],
+        link_us: 350,
+        gateway_message_us: 150,
+        runner_message_us: 100,
+        gateway_weights: vec![
+            1.2, 1.2, 1.2, 1.2, 1.0, 1.0, 1.0, 1.0, 1.0, 1.35, 1.35, 1.35,
+        ],
+        racks: 7,
+        remote_factor: 1.5,
+    }
+}
+
+/// Eight gateways that share 50 instances of which every fourth takes twice as long as the others.
+/// The last gateway serves a quarter of the callers alone.
+fn uneven() -> Deployment {
+    Deployment {
+        gateways: 8,
+        runners: 50,
+        subset: 32,
+        capacities_milli: vec![64_000, 64_000, 96_000],
+        slowness: vec![1.0 / 0.55, 1.0 / 1.2, 1.0 / 1.2, 1.0 / 1.2],
+        link_us: 350,
+        gateway_message_us: 150,
+        runner_message_us: 100,
+        gateway_weights: vec![0.33, 0.33, 0.33, 0.5, 0.5, 0.4, 0.4, 1.0],
+        racks: 9,
+        remote_factor: 3.0,
+    }
+}
+
+/// Plays the load of [`competing`] callers, of whom the searches prefer a rack.
+fn play_competing(bursts: Vec<Burst>, hot_share: f64) -> ReplayResult {
+    let mut load = Load::users_mix(6.6, 3.2, 3_000);
+    load.bursts = bursts;
+    load.prefer_racks(SEARCH, 7);
+    load.hot_key = hot_key(hot_share);
+    let result = Replay::run(competing(), load, 1);
+    println!("{result}");
+    result
+}
+
+/// Plays the load of [`uneven`] callers and instances, in which some tasks take far longer.
+fn play_uneven(factor: f64, tail_share: f64, hot_share: f64) -> ReplayResult {
+    let mut load = Load::users_mix(5.8, 4.7, 3_000);
+    for kind in &mut load.kinds {
+        kind.mean_ms *= 0.85;
+    }
+    load.bursts = vec![burst(None, factor)];
+    load.prefer_racks(SEARCH, 9);
+    load.hot_key = hot_key(hot_share);
+    load.tail_share = tail_share;
+    let result = Replay::run(uneven(), load, 1);
+    println!("{result}");
+    let shares = (0..8).map(|gateway| format!("{:.3}", result.gateway_share(gateway)));
+    println!("by gateway: {:?}", shares.collect::<Vec<_>>());
+    result
+}
+
+fn hot_key(share: f64) -> Option<HotKey> {
+    (share > 0.0).then_some(HotKey {
+        kind: SEARCH,
+        share,
+        from_ms: 500,
+        to_ms: 2_500,
+    })
+}
+
 fn burst(kind: Option<usize>, factor: f64) -> Burst {
     Burst {
         kind,
@@ -106,3 +185,23 @@
     assert!(result.in_time_share(SEARCH) >= 0.9);
     assert!(result.in_time_share(BOOKING) >= 0.5);
 }
+
+#[test]
+fn competing_callers() {
+    play_competing(vec![], 0.0);
+    play_competing(vec![], 0.6);
+    play_competing(vec![burst(Some(BOOKING), 2.3)], 0.0);
+    play_competing(vec![burst(Some(BOOKING), 3.2)], 0.0);
+    play_competing(vec![burst(Some(SEARCH), 1.8)], 0.6);
+    play_competing(vec![burst(None, 1.8)], 0.0);
+}
+
+#[test]
+fn uneven_callers() {
+    play_uneven(1.0, 0.0, 0.0);
+    play_uneven(1.0, 0.03, 0.0);
+    play_uneven(1.0, 0.0, 0.6);
+    play_uneven(1.5, 0.0, 0.0);
+    play_uneven(1.8, 0.0, 0.0);
+    play_uneven(1.5, 0.03, 0.6);
+}
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -439,11 +439,14 @@
             _ => Resources::default(),
         };
         let state = self.owners.get(&owner);
+        let capacity = self.instance().map_or(0, |i| i.capacity.cpu_milli);
         LoadReport {
             free,
             queued_work: self.queued_work,
             slowest_percent: self.slowest_percent(now),
             owners: u32::try_from(self.owners.len()).unwrap_or(u32::MAX),
+            share_cpu_milli: capacity / self.owners.len().max(1) as u64,
+            pace_percent: 0,
             last_order: state.map_or(0, |state| state.last_order),
             next_ends_ms: self.next_ends_ms(now),
         }
