Suspend an instance that fails its runs for all owners at once

Each gateway by itself needed three failed tasks to notice an instance that fails what it runs. The runner sees the runs of all gateways and now suspends its instance after failures of three different jobs, refuses what is queued, and lets one run at a time probe it afterwards.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -7,6 +7,7 @@
 use crate::instance::Run;
 use crate::job::TaskState;
 use crate::order::{EndAction, RefusalReason, RunEnd, RunReport, SessionId};
+use crate::settings::CapacitySource;
 
 /// Number of run numbers to skip after one was refused as outdated.
 const SKIPPED_RUN_NUMBERS: u64 = 100;
@@ -156,6 +157,7 @@
         reason: RefusalReason,
     ) {
         self.advance(now);
+        let has_load_reports = self.settings.capacity == CapacitySource::Reported;
         let Some(agent) = self.agent_in_session(id, session) else {
             return;
         };
@@ -164,7 +166,13 @@
                 agent.health.record_failure(now);
                 self.note_instance_failure(id, task);
             }
-            RefusalReason::NoRoom
+            // Load reports tell a dispatcher that shares the instances of the suspension. Without
+            // them, refusals have to.
+            RefusalReason::Suspended if !has_load_reports => {
+                agent.health.record_failure(now);
+            }
+            RefusalReason::Suspended
+            | RefusalReason::NoRoom
             | RefusalReason::NoInstance
             | RefusalReason::Session
             | RefusalReason::Withdrawn => {}
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -78,11 +78,12 @@
     }
 
     /// Whether the agent is in session, has sent its inventory, isn't retiring, and has an instance
-    /// that is not draining.
+    /// that is neither draining nor suspended.
     pub(crate) fn accepts_work(&self) -> bool {
         let is_staying = |instance: &InstanceReport| !instance.draining;
         let is_attached = self.session.is_some() && self.adopted && !self.retiring;
-        is_attached && self.instance.as_ref().is_some_and(is_staying)
+        let is_suspended = self.load.is_some_and(|load| load.suspended);
+        is_attached && !is_suspended && self.instance.as_ref().is_some_and(is_staying)
     }
 
     /// Free capacity of the instance, as far as is known.
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -153,6 +153,8 @@
     /// Mean ratio of the actual to the expected duration of recent runs, in percent. Zero if
     /// unknown.
     pub pace_percent: u32,
+    /// Whether the instance is given no work because it has failed what it ran.
+    pub suspended: bool,
     /// Sequence number of the owner's last order that the report takes into account.
     pub last_order: u64,
     /// Expected times until the next runs end, in ascending order and in milliseconds. Zero for each
@@ -210,6 +212,9 @@
     /// The instance did not answer the start, and later confirmed that the task is not running.
     #[display("unanswered")]
     Unanswered,
+    /// The agent gives the instance no work because it has failed what it ran.
+    #[display("suspended")]
+    Suspended,
 }
 
 /// How to handle the end of a run that an agent has reported.
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -72,6 +72,7 @@
             owners: 4,
             share_cpu_milli: 64_000 / 4,
             pace_percent: 0,
+            suspended: false,
             last_order: 0,
             next_ends_ms: [next_end_ms; REPORTED_ENDS],
         };
--- a/crates/hemlock_nodes/src/load_reports.rs
+++ b/crates/hemlock_nodes/src/load_reports.rs
@@ -27,6 +27,7 @@
     further_tasks: u64,
     /// Expected wait of a start of each level, in units of [`WAIT_BUCKET_MS`].
     waits: [u64; URGENCY_LEVELS],
+    suspended: bool,
 }
 
 impl LoadSummary {
@@ -51,6 +52,7 @@
         Self {
             further_tasks: (report.free.cpu_milli / usual_cpu_milli.max(1)).min(MAX_FURTHER_TASKS),
             waits,
+            suspended: report.suspended,
         }
     }
 }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -62,6 +62,8 @@
     gateways: Gateways,
     /// Whether the leader has adopted the inventory, so that changes may be reported to it.
     leader_adopted: Cell<bool>,
+    /// Whether the instance was suspended when this was last logged.
+    suspended: Cell<bool>,
     clock: SystemClock,
     /// Notified when the next listing must not wait for its delay.
     listing_due: Notify,
@@ -88,6 +90,7 @@
                 runs: RefCell::new(Runs::new(settings.runs, settings.fence, clock.now())),
                 gateways: Gateways::default(),
                 leader_adopted: Cell::new(false),
+                suspended: Cell::new(false),
                 clock,
                 listing_due: Notify::new(),
                 load_changed: Notify::new(),
@@ -141,9 +144,21 @@
             let calls = self.runs.borrow_mut().tick(self.clock.now());
             self.make_calls(calls);
             self.report_outcomes();
+            self.note_suspension();
         }
     }
 
+    /// Tells the gateways when the instance is suspended or given work again.
+    fn note_suspension(&self) {
+        let suspended = self.runs.borrow().is_suspended();
+        if self.suspended.replace(suspended) == suspended {
+            return;
+        }
+        info!(event = "instance-suspension", suspended);
+        metrics::gauge!("hemlock_runner_instance_suspended").set(f64::from(u8::from(suspended)));
+        self.load_changed.notify_one();
+    }
+
     /// Handles a heartbeat of the instance.
     pub fn handle_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let name = heartbeat.instance.id.name.clone();
@@ -191,6 +206,7 @@
         if outcomes.is_empty() {
             return;
         }
+        self.note_suspension();
         self.load_changed.notify_one();
         let mut to_leader = (Report::default(), Vec::new());
         let mut to_gateways = Vec::new();
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(runs.may_renew(Instant::ZERO));
 //! ```
 
+mod breaker;
 pub mod driver;
 pub mod runs;
 mod tracked_run;
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -16,6 +16,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
+use crate::breaker::Breaker;
 use crate::driver::{StartCall, StopCall};
 use crate::tracked_run::{Owner, Phase, QueuePosition, QueuedStart, TrackedRun};
 
@@ -205,6 +206,8 @@
     ends: BTreeMap<u64, NumberedEnd>,
     /// Number up to which all ends are settled.
     settled: u64,
+    /// Suspends the instance for all owners while it fails what it runs.
+    breaker: Breaker,
     /// Ends of the last few seconds, for owners that reconnect.
     recent_ends: VecDeque<(Instant, RunReport)>,
     /// Outcomes that their owners are still to be told.
@@ -246,6 +249,7 @@
             queued_work: [0; URGENCY_LEVELS],
             ends: BTreeMap::new(),
             settled: 0,
+            breaker: Breaker::default(),
             recent_ends: VecDeque::new(),
             outbox: Vec::new(),
             stop_retries: BTreeSet::new(),
@@ -447,6 +451,7 @@
             owners: u32::try_from(self.owners.len()).unwrap_or(u32::MAX),
             share_cpu_milli: capacity / self.owners.len().max(1) as u64,
             pace_percent: 0,
+            suspended: !self.breaker.admits(),
             last_order: state.map_or(0, |state| state.last_order),
             next_ends_ms: self.next_ends_ms(now),
         }
@@ -575,6 +580,7 @@
             self.lease_until_max_ms = 0;
         }
         if restarted {
+            self.breaker = Breaker::default();
             self.lapse_all_runs(now);
             self.reachable = false;
             self.clock = None;
@@ -621,11 +627,34 @@
             self.recent_ends.pop_front();
         }
         self.recent_ends.push_back((now, report));
+        self.note_outcome(now, report.task, report.end);
         if let Some(owner) = owner {
             self.outbox.push((owner, RunOutcome::Ended(report, number)));
         }
     }
 
+    /// Notes what an end tells about the health of the instance.
+    fn note_outcome(&mut self, now: Instant, task: TaskKey, end: Option<RunEnd>) {
+        match end {
+            Some(RunEnd::Done) => self.breaker.record_success(task),
+            Some(RunEnd::Failed | RunEnd::Stalled) => self.note_failure(now, task),
+            _ => self.breaker.record_other_end(task),
+        }
+    }
+
+    /// Notes a failure for which the instance may be the cause. Queued starts of a suspended
+    /// instance are refused, so that their owners place them elsewhere at once.
+    fn note_failure(&mut self, now: Instant, task: TaskKey) {
+        if self.breaker.record_failure(now, task) {
+            self.refuse_queue(RefusalReason::Suspended);
+        }
+    }
+
+    /// Whether the instance is given no work because it has failed what it ran.
+    pub fn is_suspended(&self) -> bool {
+        !self.breaker.admits()
+    }
+
     fn insert(&mut self, task: TaskKey, tracked: TrackedRun) {
         if let Some(needs) = self.table.insert(task, tracked).and_then(|e| e.needs) {
             self.used.subtract(&needs);
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -163,6 +163,7 @@
             };
             match (tracked.phase, tracked.owner) {
                 (Phase::Stopping { started: false, .. }, Some(owner)) => {
+                    self.breaker.record_other_end(task);
                     let reason = RefusalReason::Unanswered;
                     let refused = RefusedStart { task, run, reason };
                     self.outbox.push((owner, RunOutcome::Refused(refused)));
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -41,6 +41,7 @@
                 (true, false) => Err(RefusalReason::NoInstance),
                 _ if self.is_known(task) => Err(RefusalReason::Outdated),
                 _ if !self.fits_instance(&start.needs) => Err(RefusalReason::NoRoom),
+                _ if !self.may_enqueue() => Err(RefusalReason::Suspended),
                 _ => self.enqueue(now, owner, start),
             };
             if let Err(reason) = result {
@@ -55,6 +56,11 @@
         self.table.contains_key(&task) || self.queued.contains_key(&task)
     }
 
+    /// Whether the circuit breaker lets another start wait for capacity.
+    fn may_enqueue(&self) -> bool {
+        self.breaker.is_closed() || (self.breaker.admits() && self.queued.is_empty())
+    }
+
     fn fits_instance(&self, needs: &Resources) -> bool {
         self.instance()
             .is_some_and(|instance| instance.capacity.fits(needs))
@@ -150,6 +156,10 @@
             }
             (StartResult::Refused(reason), Phase::Starting) => {
                 self.remove(task);
+                match reason {
+                    RefusalReason::Unhealthy => self.note_failure(now, task),
+                    _ => self.breaker.record_other_end(task),
+                }
                 let refused = RefusedStart { task, run, reason };
                 let owner = tracked.owner;
                 self.outbox
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -8,6 +8,12 @@
 use super::{DriverCall, OwnerState, Runs};
 use crate::tracked_run::{Owner, Phase, TrackedRun};
 
+/// Multiple of its expected duration after which a run at a suspected instance counts as stalled.
+/// Declared durations are off by less.
+const SUSPECT_OVERDUE_FACTOR: u64 = 2;
+/// Time added to it for the delays with which starts and ends are noticed, in milliseconds.
+const SUSPECT_OVERDUE_MS: u64 = 50;
+
 /// A run that an owner expects to be at the instance when it begins a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -247,6 +253,7 @@
             calls.extend(self.stop_runs_of(now, Some(owner)));
         }
         self.mark_lapsed_ends(now);
+        self.breaker.advance(now);
         calls.extend(self.stop_unclaimed(now));
         calls.extend(self.stop_stalled(now));
         calls.extend(self.take_stop_retries(now));
@@ -266,13 +273,19 @@
         calls.collect()
     }
 
-    /// Stops runs that have exceeded their stall limit.
+    /// Stops runs that have exceeded their stall limit. At an instance that has failed or stalled
+    /// other runs, a run that is overdue has most likely stalled too.
     fn stop_stalled(&mut self, now: Instant) -> Vec<DriverCall> {
+        let is_suspect = !self.breaker.is_closed();
+        let limit_ms = |tracked: &TrackedRun| match is_suspect {
+            true => tracked
+                .stall_after_ms
+                .min(SUSPECT_OVERDUE_FACTOR * tracked.expected_ms + SUSPECT_OVERDUE_MS),
+            false => tracked.stall_after_ms,
+        };
         let is_stalled = |tracked: &TrackedRun| {
             let running = matches!(tracked.phase, Phase::Running(_));
-            running
-                && tracked.stall_after_ms > 0
-                && tracked.elapsed_ms(now) > tracked.stall_after_ms
+            running && tracked.stall_after_ms > 0 && tracked.elapsed_ms(now) > limit_ms(tracked)
         };
         let stalled = self.table.iter().filter(|(_, tracked)| is_stalled(tracked));
         let tasks: Vec<TaskKey> = stalled.map(|(task, _)| *task).collect();
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -60,6 +60,7 @@
             };
             let needs = queued.order.needs;
             if self.has_unclaimed()
+                || !self.breaker.admits()
                 || !self.has_free_capacity(&needs)
                 || self.table.contains_key(&task)
             {
@@ -81,6 +82,7 @@
                 phase: Phase::Starting,
             };
             self.insert(task, tracked);
+            self.breaker.note_started(task);
             assert!(
                 self.instance
                     .as_ref()
