Compute an owner's share of an instance from its recent demand

The share was the capacity divided by the number of owners. A gateway with twice its neighbours' demand counted on half of what it could have. The runner now keeps a decaying rate of the ordered work of each owner.

--- a/crates/hemlock_nodes/tests/replay/result.rs
+++ b/crates/hemlock_nodes/tests/replay/result.rs
@@ -27,6 +27,8 @@
     pub(crate) kinds: Vec<KindResult>,
     /// Worth of all jobs of each gateway's callers, and how much of it was earned.
     pub(crate) gateways: BTreeMap<usize, (f64, f64)>,
+    /// Number of rejected jobs of each gateway's callers.
+    pub(crate) gateway_rejected: BTreeMap<usize, u64>,
     /// Messages that a gateway received, each second.
     pub(crate) gateway_messages_per_s: f64,
     pub(crate) used_milli_us: u64,
@@ -69,6 +71,8 @@
             CallerAnswer::Rejected { .. } if took_us < 20_000 => kind.rejected += 1,
             _ => kind.given_up += 1,
         }
+        let rejected = matches!(answer, CallerAnswer::Rejected { .. });
+        *self.gateway_rejected.entry(gateway).or_default() += u64::from(rejected);
         let (worth, earned) = self.gateways.entry(gateway).or_default();
         *worth += arrival.worth;
         *earned += kind.earned - earned_before;
--- a/crates/hemlock_nodes/tests/replay_load.rs
+++ b/crates/hemlock_nodes/tests/replay_load.rs
@@ -109,6 +109,7 @@
     println!("{result}");
     let shares = (0..8).map(|gateway| format!("{:.3}", result.gateway_share(gateway)));
     println!("by gateway: {:?}", shares.collect::<Vec<_>>());
+    println!("rejected by gateway: {:?}", result.gateway_rejected);
     result
 }
 
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod driver;
 pub mod runs;
+pub mod shares;
 mod tracked_run;
 
 /// The types that most users of the crate need.
@@ -28,5 +29,6 @@
         Claim, DriverCall, FenceAction, Heartbeat, InstanceChange, RefusedStart, RunOutcome, Runs,
         RunsSettings,
     };
+    pub use crate::shares::Shares;
     pub use crate::tracked_run::Owner;
 }
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -17,6 +17,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 
 use crate::driver::{StartCall, StopCall};
+use crate::shares::Shares;
 use crate::tracked_run::{Owner, Phase, QueuePosition, QueuedStart, TrackedRun};
 
 /// Lower bound for a run's expected duration when its slowness is calculated, in milliseconds: the
@@ -180,6 +181,7 @@
     /// Whether the instance has accepted the fencing token.
     fence_accepted: bool,
     owners: BTreeMap<Owner, OwnerState>,
+    shares: Shares,
     instance: Option<InstanceReport>,
     /// Highest sequence number of the instance's heartbeats.
     max_sequence: u64,
@@ -232,6 +234,7 @@
             fence,
             fence_accepted: false,
             owners: BTreeMap::new(),
+            shares: Shares::default(),
             instance: None,
             max_sequence: 0,
             instance_born_ms: None,
@@ -439,19 +442,39 @@
             _ => Resources::default(),
         };
         let state = self.owners.get(&owner);
-        let capacity = self.instance().map_or(0, |i| i.capacity.cpu_milli);
         LoadReport {
             free,
             queued_work: self.queued_work,
             slowest_percent: self.slowest_percent(now),
             owners: u32::try_from(self.owners.len()).unwrap_or(u32::MAX),
-            share_cpu_milli: capacity / self.owners.len().max(1) as u64,
+            share_cpu_milli: self.share_cpu_milli(now, owner),
             pace_percent: 0,
             last_order: state.map_or(0, |state| state.last_order),
             next_ends_ms: self.next_ends_ms(now),
         }
     }
 
+    /// The CPU of the instance that the owner may count on, in milli-cores.
+    fn share_cpu_milli(&self, now: Instant, owner: Owner) -> u64 {
+        let capacity = self.instance().map_or(0, |i| i.capacity.cpu_milli);
+        let owners = self.owners.len();
+        self.shares.share_cpu_milli(now, owner, owners, capacity)
+    }
+
+    /// The shares of all owners, the largest first, in milli-cores.
+    pub fn shares(&self, now: Instant) -> Vec<(Owner, u64)> {
+        let owners = self.owners.keys();
+        let share = |owner: &Owner| (*owner, self.share_cpu_milli(now, *owner));
+        let mut shares: Vec<(Owner, u64)> = owners.map(share).collect();
+        shares.sort_unstable_by_key(|(owner, share)| (std::cmp::Reverse(*share), *owner));
+        shares
+    }
+
+    /// The CPU that the recent work of all owners takes, in milli-cores.
+    pub fn demand_cpu_milli(&self, now: Instant) -> u64 {
+        self.shares.total_cpu_milli(now)
+    }
+
     /// Expected times until the next runs end, in ascending order.
     fn next_ends_ms(&self, now: Instant) -> [u32; REPORTED_ENDS] {
         let mut left_ms: Vec<u64> = self.table.values().map(|run| run.left_ms(now)).collect();
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -243,6 +243,7 @@
         let mut calls = Vec::new();
         for owner in gone {
             self.owners.remove(&owner);
+            self.shares.remove(owner);
             self.drop_queued_starts(owner);
             calls.extend(self.stop_runs_of(now, Some(owner)));
         }
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -25,6 +25,7 @@
         if self.queued.len() >= MAX_QUEUED_STARTS {
             return Err(RefusalReason::NoRoom);
         }
+        self.shares.note_ordered(now, owner, order.work());
         self.queued_needs.add(&order.needs);
         self.queued_work[order.urgency.level()] += order.work();
         let task = order.task;
