Report the largest and smallest share of an instance as metrics

Operators could not see which part of an instance its owners count on. Four gauges without labels by gateway keep the number of series bounded.

--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -141,9 +141,23 @@
             let calls = self.runs.borrow_mut().tick(self.clock.now());
             self.make_calls(calls);
             self.report_outcomes();
+            self.record_shares();
         }
     }
 
+    /// Sets the metrics of the owners' shares.
+    fn record_shares(&self) {
+        let now = self.clock.now();
+        let runs = self.runs.borrow();
+        let shares = runs.shares(now);
+        let cpu_milli = |share: Option<&(Owner, u64)>| share.map_or(0.0, |(_, cpu)| *cpu as f64);
+        metrics::gauge!("hemlock_runner_owners").set(shares.len() as f64);
+        metrics::gauge!("hemlock_runner_demand_cpu_milli").set(runs.demand_cpu_milli(now) as f64);
+        let (largest, smallest) = (cpu_milli(shares.first()), cpu_milli(shares.last()));
+        metrics::gauge!("hemlock_runner_share_cpu_milli", "rank" => "largest").set(largest);
+        metrics::gauge!("hemlock_runner_share_cpu_milli", "rank" => "smallest").set(smallest);
+    }
+
     /// Handles a heartbeat of the instance.
     pub fn handle_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let name = heartbeat.instance.id.name.clone();
