--- a/crates/hemlock_nodes/tests/replay/result.rs
+++ b/crates/hemlock_nodes/tests/replay/result.rs
@@ -84,6 +84,16 @@
         earned / worth
     }
 
+    /// Difference between the shares of the best and the worst served gateway.
+    pub(crate) fn gateway_spread(&self) -> f64 {
+        let shares = || {
+            self.gateways
+                .keys()
+                .map(|gateway| self.gateway_share(*gateway))
+        };
+        shares().fold(0.0, f64::max) - shares().fold(1.0, f64::min)
+    }
+
     /// Share of the worth of all jobs that was earned.
     pub(crate) fn earned_share(&self) -> f64 {
         let worth: f64 = self.kinds.iter().map(|kind| kind.worth).sum();
--- a/crates/hemlock_nodes/tests/replay_load.rs
+++ b/crates/hemlock_nodes/tests/replay_load.rs
@@ -10,6 +10,8 @@
 const SEARCH: usize = 0;
 const BOOKING: usize = 1;
 const POSTING: usize = 2;
+/// The gateway of [`uneven`] that serves a quarter of the callers.
+const BUSY_GATEWAY: usize = 7;
 
 /// Nine gateways that share 54 instances of ten tasks each.
 fn grown() -> Deployment {
@@ -197,12 +199,30 @@
     play_competing(vec![burst(None, 1.8)], 0.0);
 }
 
+/// Guards against a gateway that serves far more callers than its neighbours, and rejects or delays
+/// their jobs while instances have room.
 #[test]
 fn uneven_callers() {
-    play_uneven(1.0, 0.0, 0.0);
-    play_uneven(1.0, 0.03, 0.0);
-    play_uneven(1.0, 0.0, 0.6);
-    play_uneven(1.5, 0.0, 0.0);
-    play_uneven(1.8, 0.0, 0.0);
-    play_uneven(1.5, 0.03, 0.6);
+    let calm = play_uneven(1.0, 0.0, 0.0);
+    assert!(calm.start_wait_ms(0.5) <= 5.0);
+    assert!(calm.start_wait_ms(0.95) <= 15.0);
+    let burst = play_uneven(1.5, 0.0, 0.0);
+    for result in [&calm, &burst] {
+        assert!(result.gateway_spread() < 0.03);
+    }
+    // A quarter of the capacity is free on average.
+    let larger_burst = play_uneven(1.8, 0.0, 0.0);
+    assert_eq!(larger_burst.gateway_rejected.values().sum::<u64>(), 0);
+    let results = [
+        calm,
+        burst,
+        larger_burst,
+        play_uneven(1.0, 0.03, 0.0),
+        play_uneven(1.0, 0.0, 0.6),
+        play_uneven(1.5, 0.03, 0.6),
+    ];
+    for result in results {
+        let lag = result.earned_share() - result.gateway_share(BUSY_GATEWAY);
+        assert!(lag < 0.03, "{result}");
+    }
 }
