--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -17,6 +17,7 @@
 mod breaker;
 pub mod driver;
 pub mod runs;
+pub mod shares;
 mod tracked_run;
 
 /// The types that most users of the crate need.
@@ -29,5 +30,6 @@
         Claim, DriverCall, FenceAction, Heartbeat, InstanceChange, RefusedStart, RunOutcome, Runs,
         RunsSettings,
     };
+    pub use crate::shares::Shares;
     pub use crate::tracked_run::Owner;
 }
