Postpone queued starts that can no longer be on time

By due time, a start that ends late in any case went first and made those behind it late. It is now moved once, to a later fixed due time within its priority.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -5,6 +5,7 @@
 //! callers, all of them on time. A rejected caller learns at once when to retry, instead of waiting
 //! for a result that comes too late.
 
+use derive_more::Display;
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
@@ -12,14 +13,37 @@
 use crate::admitted::AdmittedWork;
 use crate::estimate::MAX_OVERESTIMATE_FACTOR;
 use crate::instance::Agent;
-use crate::job::{Policy, spec_critical_path_ms};
+use crate::job::{Policy, spec_critical_path_ms, spec_work};
 use crate::order::Urgency;
 use crate::ranking::{Rank, Timeliness};
+use crate::retry_spread::RetrySpread;
+use crate::size_refusal::{RelativeSize, SizeProfile};
 
 /// Smallest share of the CPU that is assumed to be left beside more urgent work. The rate of that
 /// work is an estimate, which may exceed the CPU for a moment.
 const MIN_LEFT_SHARE: f64 = 0.35;
 
+/// Why a job was rejected.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RejectionCause {
+    /// A job of the mean work of its queue would have been rejected too.
+    #[display("wait")]
+    Wait,
+    /// The job needs more work than others of its queue, and only they may wait as long.
+    #[display("size")]
+    Size,
+    /// The job can't end before its caller stops waiting.
+    #[display("deadline")]
+    Deadline,
+}
+
+/// Recent admission of a queue's jobs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AdmissionHistory {
+    sizes: SizeProfile,
+    retries: RetrySpread,
+}
+
 /// Rejection of a job that is expected to miss its objective or its caller's deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionError {
@@ -27,6 +51,10 @@
     pub expected_wait_ms: u64,
     /// Delay after which the caller may retry, in milliseconds.
     pub retry_after_ms: u64,
+    /// Why the job was rejected.
+    pub cause: RejectionCause,
+    /// The job's size in comparison with its queue's recent jobs.
+    pub size: RelativeSize,
 }
 
 impl Dispatcher {
@@ -51,16 +79,51 @@
             .objective(critical_path_ms)
             .as_ms()
             .saturating_sub(critical_path_ms);
-        let max_wait_ms = slack_ms as f64 * self.settings.admit_slack_share;
+        let usual_wait_ms = slack_ms as f64 * self.admit_slack_share(queue);
+        let most_wait_ms = slack_ms as f64 * self.settings.max_admit_slack_share;
         let wait_ms = self.expected_wait_ms(&queue.service, policy.priority);
         let min_duration_ms = wait_ms + critical_path_ms / MAX_OVERESTIMATE_FACTOR;
         let misses_deadline = time_left.is_some_and(|left| min_duration_ms > left.as_ms());
-        match misses_deadline || wait_ms as f64 > max_wait_ms {
-            false => Ok(()),
-            true => Err(AdmissionError {
-                expected_wait_ms: wait_ms,
-                retry_after_ms: wait_ms.max(self.settings.retry_after_min_ms),
-            }),
+        let work = spec_work(spec);
+        let AdmissionHistory { sizes, retries } =
+            self.histories.entry(queue.name.clone()).or_default();
+        sizes.note_asked(work);
+        let max_wait_ms = (usual_wait_ms * sizes.wait_factor(work)).min(most_wait_ms);
+        let is_too_long = wait_ms as f64 > max_wait_ms;
+        sizes.note_decision(work, !misses_deadline && !is_too_long);
+        let cause = match (misses_deadline, is_too_long) {
+            (false, false) => return Ok(()),
+            (true, _) => RejectionCause::Deadline,
+            (false, true) if wait_ms as f64 <= usual_wait_ms => RejectionCause::Size,
+            (false, true) => RejectionCause::Wait,
+        };
+        let least_ms = wait_ms.max(self.settings.retry_after_min_ms);
+        Err(AdmissionError {
+            expected_wait_ms: wait_ms,
+            retry_after_ms: retries.next_ms(least_ms, sizes.admitted_share()),
+            cause,
+            size: sizes.relative_size(work),
+        })
+    }
+
+    /// Share of their slack that jobs of the queue may wait. It is smaller for a class between the
+    /// most and the least urgent one while a less urgent class is admitted less often.
+    fn admit_slack_share(&self, queue: &Queue) -> f64 {
+        let admitted_share = |queue: &Queue| {
+            let history = self.histories.get(&queue.name);
+            history.map_or(1.0, |history| history.sizes.admitted_share())
+        };
+        let own_share = admitted_share(queue);
+        let same_service = || {
+            let queues = self.queues.values();
+            queues.filter(|other| other.service == queue.service)
+        };
+        let is_middle = same_service().any(|other| other.priority < queue.priority);
+        let displaces =
+            |other: &Queue| other.priority > queue.priority && admitted_share(other) < own_share;
+        match is_middle && same_service().any(displaces) {
+            true => self.settings.admit_displacing_slack_share,
+            false => self.settings.admit_slack_share,
         }
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -7,7 +7,7 @@
 mod tick;
 mod withdrawal;
 
-pub use admission::AdmissionError;
+pub use admission::{AdmissionError, RejectionCause};
 pub use sessions::Adoption;
 pub use withdrawal::Withdrawal;
 
@@ -23,6 +23,7 @@
 use crate::order::SessionId;
 use crate::ranking::{Rank, Timeliness, assess_timeliness};
 use crate::settings::DispatchSettings;
+use admission::AdmissionHistory;
 use withdrawal::Withdrawals;
 
 /// How long the highest run number of a removed job is remembered.
@@ -53,6 +54,8 @@
     queues: HashMap<String, Queue>,
     /// Rates of the admitted work by service.
     admitted: HashMap<String, AdmittedWork>,
+    /// Recent admission of the jobs of each queue.
+    histories: HashMap<String, AdmissionHistory>,
     next_session: u64,
     /// Lower bound for new run numbers of tasks whose earlier runs are unknown.
     run_floor: RunNumber,
@@ -81,6 +84,7 @@
             rank_changes: BTreeSet::new(),
             queues: HashMap::new(),
             admitted: HashMap::new(),
+            histories: HashMap::new(),
             next_session: 0,
             run_floor: RunNumber(store.generation().saturating_sub(1) * RUNS_PER_GENERATION),
             awaiting_inventory: store.agents().clone(),
@@ -109,6 +113,8 @@
         self.queues = queues
             .map(|queue| (queue.name.clone(), queue.clone()))
             .collect();
+        self.histories
+            .retain(|queue, _| self.queues.contains_key(queue));
         for job in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&job.queue) {
                 job.service.clone_from(&queue.service);
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -183,6 +183,14 @@
     spec.needs.cpu_milli * spec.estimate_ms * count as u64
 }
 
+/// Estimated CPU time of a whole job, in milli-cores times milliseconds.
+pub(crate) fn spec_work(spec: &JobSpec) -> u64 {
+    let steps = spec.steps.iter();
+    steps
+        .map(|step| step_work(step, usize::from(step.count)))
+        .sum()
+}
+
 /// Length of the critical path through the given steps.
 ///
 /// Each step is given by its own duration and the positions of the earlier steps it depends on.
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -23,15 +23,18 @@
 pub mod order;
 mod placement;
 mod ranking;
+mod retry_spread;
 pub mod settings;
+mod size_refusal;
 
 /// The items that most callers need.
 pub mod prelude {
-    pub use crate::dispatcher::{AdmissionError, Dispatcher, JobStage, Withdrawal};
+    pub use crate::dispatcher::{AdmissionError, Dispatcher, JobStage, RejectionCause, Withdrawal};
     pub use crate::order::{
         EndAction, Inventory, LoadReport, Order, REPORTED_ENDS, RefusalReason, RunEnd, RunReport,
         SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
     };
     pub use crate::settings::{CapacitySource, DispatchSettings, longest_lease};
+    pub use crate::size_refusal::RelativeSize;
     pub use hemlock_jobs::prelude::{InstanceId, InstanceReport};
 }
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -34,6 +34,12 @@
     /// Share of a job's slack that its expected wait may take for the job to be admitted. Slack is
     /// the latency objective minus the critical path. The rest covers errors of the expected wait.
     pub admit_slack_share: f64,
+    /// Same as [`admit_slack_share`](Self::admit_slack_share), for jobs that displace less urgent
+    /// ones: those of a class between the most and the least urgent one of their service, while a
+    /// less urgent class is admitted less often.
+    pub admit_displacing_slack_share: f64,
+    /// Largest share of a job's slack that its expected wait may take, however small the job is.
+    pub max_admit_slack_share: f64,
     /// Shortest retry delay given to rejected callers, in milliseconds.
     pub retry_after_min_ms: u64,
     /// Ratio of a task's duration on another rack than the one that it prefers to that on the
@@ -51,6 +57,8 @@
             margin_ms: 250,
             expire_after_objectives: 3.0,
             admit_slack_share: 0.5,
+            admit_displacing_slack_share: 0.25,
+            max_admit_slack_share: 0.9,
             retry_after_min_ms: 1_000,
             remote_factor: 1.0,
         }
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -166,6 +166,45 @@
     assert!(refused.retry_after_ms >= 1_000);
 }
 
+/// Guards against serving few large jobs in place of many small ones, and against starving them.
+#[test]
+fn large_jobs_are_rejected_first_but_at_most_half_of_them() {
+    let mut fixture = Fixture::new(1);
+    // 75 of the 90 ms that a usual job may wait.
+    fixture.submit(1, job(4, 6_000, 200));
+    let (mut usual, mut large) = (0, 0);
+    for _ in 0..40 {
+        for _ in 0..9 {
+            usual += u32::from(fixture.admit(&job(4, 6_000, 200)).is_ok());
+        }
+        match fixture.admit(&job(16, 6_000, 200)) {
+            Ok(()) => large += 1,
+            Err(refused) => {
+                assert_eq!(refused.cause, RejectionCause::Size);
+                assert_eq!(refused.size, RelativeSize::Large);
+            }
+        }
+    }
+    assert_eq!(usual, 360);
+    assert!((20..40).contains(&large), "{large}");
+}
+
+/// Guards against rejected callers that all come back in the same second.
+#[test]
+fn retry_times_of_rejected_callers_are_spread() {
+    let mut fixture = Fixture::new(1);
+    for id in 0..8 {
+        fixture.submit(id, job(4, 6_000, 200));
+    }
+    let mut seconds = std::collections::BTreeMap::new();
+    for _ in 0..40 {
+        let refused = fixture.admit(&job(4, 6_000, 200)).expect_err("overload");
+        assert!((1_000..=5_000).contains(&refused.retry_after_ms));
+        *seconds.entry(refused.retry_after_ms / 1_000).or_insert(0) += 1;
+    }
+    assert!(seconds.len() >= 4 && seconds.values().all(|callers| *callers <= 12));
+}
+
 #[test]
 fn tasks_of_a_silent_agent_restart_elsewhere_after_its_leases_expire() {
     let mut fixture = Fixture::new(2);
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -126,6 +126,7 @@
                     Err(refusal) => {
                         info!(event = "job-rejected", job = %id, queue = queue.name,
                               expected_wait_ms = refusal.expected_wait_ms,
+                              cause = %refusal.cause, size = %refusal.size,
                               retry_after_ms = refusal.retry_after_ms, version);
                         Decision::Known(CallerAnswer::Rejected {
                             reason: Rejection::Overload,
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -138,7 +138,12 @@
                 .admit(now, queue, &spec, Some(answer_deadline.since(now)))
         {
             info!(event = "job-rejected", job = %id, queue = queue.name,
-                  expected_wait_ms = refusal.expected_wait_ms);
+                  expected_wait_ms = refusal.expected_wait_ms, cause = %refusal.cause,
+                  size = %refusal.size, retry_after_ms = refusal.retry_after_ms);
+            metrics::counter!("hemlock_gateway_rejections_total", "queue" => queue.name.clone(),
+                              "cause" => refusal.cause.to_string(),
+                              "size" => refusal.size.to_string())
+            .increment(1);
             metrics::counter!("hemlock_gateway_jobs_total", "answer" => "rejected").increment(1);
             return Err(CallerAnswer::Rejected {
                 reason: Rejection::Overload,
--- a/crates/hemlock_nodes/tests/replay/load.rs
+++ b/crates/hemlock_nodes/tests/replay/load.rs
@@ -10,6 +10,9 @@
 pub(crate) const CALLER_TIMEOUT_US: u64 = 8_000_000;
 /// Time after the last submission for which the replay goes on.
 const DRAIN_US: u64 = 3_000_000;
+/// Ratio to the mean work of a kind that a tenth of its jobs exceeds: the work is the product of two
+/// log-normal factors.
+const LARGEST_TENTH: f64 = 1.75;
 const START_US: u64 = 1_000_000;
 /// Ratio of the duration of long tasks to that of others.
 const TAIL_FACTOR: f64 = 7.0;
@@ -66,6 +69,8 @@
     pub(crate) spec: JobSpec,
     pub(crate) objective_us: u64,
     pub(crate) worth: f64,
+    /// Whether the job's work is among the largest tenth of its kind.
+    pub(crate) is_large: bool,
 }
 
 pub(crate) fn queue(name: &str, priority: u32) -> Queue {
@@ -222,6 +227,7 @@
             spec,
             objective_us: (objective_ms * 1_000.0) as u64,
             worth: description.worth * (0.3 + 0.7 * size).min(4.0),
+            is_large: size >= LARGEST_TENTH,
         }
     }
 }
--- a/crates/hemlock_nodes/tests/replay/result.rs
+++ b/crates/hemlock_nodes/tests/replay/result.rs
@@ -19,6 +19,9 @@
     pub(crate) given_up: u64,
     pub(crate) worth: f64,
     pub(crate) earned: f64,
+    /// Jobs among the largest tenth of the kind by declared work, and how many of them were in time.
+    pub(crate) large_asked: u64,
+    pub(crate) large_in_time: u64,
 }
 
 /// Answers to all jobs, and what serving them cost.
@@ -56,6 +59,10 @@
         kind.asked += 1;
         kind.worth += arrival.worth;
         let took_us = now_us - arrival.at_us;
+        let in_time = matches!(answer, CallerAnswer::Finished(JobOutcome::Complete))
+            && took_us <= arrival.objective_us;
+        kind.large_asked += u64::from(arrival.is_large);
+        kind.large_in_time += u64::from(arrival.is_large && in_time);
         match answer {
             CallerAnswer::Finished(JobOutcome::Complete) if took_us <= arrival.objective_us => {
                 kind.in_time += 1;
@@ -91,6 +98,11 @@
         self.kinds[kind].in_time as f64 / self.kinds[kind].asked as f64
     }
 
+    /// Same as [`in_time_share`](Self::in_time_share), for the largest tenth of the kind's jobs.
+    pub(crate) fn large_in_time_share(&self, kind: usize) -> f64 {
+        self.kinds[kind].large_in_time as f64 / self.kinds[kind].large_asked as f64
+    }
+
     /// The wait from submission to start that the given share of all tasks doesn't exceed, in
     /// milliseconds.
     pub(crate) fn start_wait_ms(&self, share: f64) -> f64 {
--- a/crates/hemlock_nodes/tests/replay_load.rs
+++ b/crates/hemlock_nodes/tests/replay_load.rs
@@ -10,6 +10,7 @@
 const SEARCH: usize = 0;
 const BOOKING: usize = 1;
 const POSTING: usize = 2;
+const COMPETING_RUNNERS: usize = 68;
 
 /// Nine gateways that share 54 instances of ten tasks each.
 fn grown() -> Deployment {
@@ -51,7 +52,7 @@
 fn competing() -> Deployment {
     Deployment {
         gateways: 12,
-        runners: 68,
+        runners: COMPETING_RUNNERS,
         subset: 32,
         capacities_milli: vec![32_000, 32_000, 48_000],
         slowness: vec![1.0, 1.0, 0.77],
@@ -84,13 +85,18 @@
     }
 }
 
-/// Plays the load of [`competing`] callers, of whom the searches prefer a rack.
-fn play_competing(bursts: Vec<Burst>, hot_share: f64) -> ReplayResult {
+/// Plays the load of [`competing`] callers, of whom the searches prefer a rack, with this number of
+/// runners.
+fn play_competing(runners: usize, bursts: Vec<Burst>, hot_share: f64) -> ReplayResult {
+    let deployment = Deployment {
+        runners,
+        ..competing()
+    };
     let mut load = Load::users_mix(6.6, 3.2, 3_000);
     load.bursts = bursts;
     load.prefer_racks(SEARCH, 7);
     load.hot_key = hot_key(hot_share);
-    let result = Replay::run(competing(), load, 1);
+    let result = Replay::run(deployment, load, 1);
     println!("{result}");
     result
 }
@@ -186,14 +192,73 @@
     assert!(result.in_time_share(BOOKING) >= 0.5);
 }
 
+/// Checks what callers of every class need under overload.
+fn assert_each_class_is_served(result: &ReplayResult) {
+    for kind in [SEARCH, BOOKING, POSTING] {
+        // Jobs that need more work than others of their class must not be starved.
+        let large_share = result.large_in_time_share(kind);
+        let share = result.in_time_share(kind);
+        assert!(large_share >= share / 2.0, "{kind}: {large_share} {share}");
+        // Work that can't be served in time must be rejected, not begun.
+        let answers = &result.kinds[kind];
+        let late = answers.late + answers.given_up;
+        assert!(late <= answers.asked / 8, "{answers:?}");
+    }
+}
+
+/// Guards against admission that rejects, or placement that delays, jobs without overload.
+#[test]
+fn competing_callers_are_on_time_without_overload() {
+    let result = play_competing(COMPETING_RUNNERS, vec![], 0.0);
+    assert!(result.earned_share() >= 0.98);
+    assert!(result.start_wait_ms(0.5) <= 5.0);
+    assert!(result.start_wait_ms(0.95) <= 15.0);
+    assert!(result.kinds.iter().all(|kind| kind.rejected == 0));
+    assert!(play_competing(COMPETING_RUNNERS, vec![], 0.6).earned_share() >= 0.97);
+}
+
+/// Guards against serving the least urgent class worse than others when its own burst fills the
+/// instances, of which a quarter is missing.
+#[test]
+fn a_burst_of_the_least_urgent_class_costs_it_no_more_than_others() {
+    for (runners, factor) in [
+        (COMPETING_RUNNERS, 2.3),
+        (COMPETING_RUNNERS, 3.2),
+        (51, 2.3),
+    ] {
+        let result = play_competing(runners, vec![burst(Some(BOOKING), factor)], 0.0);
+        assert!(result.earned_share() >= 0.9);
+        let others = result
+            .in_time_share(SEARCH)
+            .min(result.in_time_share(POSTING));
+        assert!(result.in_time_share(BOOKING) >= others - 0.03);
+        assert_each_class_is_served(&result);
+    }
+}
+
+/// Guards against serving urgent jobs late in their own burst, while many prefer one rack.
+#[test]
+fn a_burst_of_the_most_urgent_class_is_served_in_time() {
+    let result = play_competing(COMPETING_RUNNERS, vec![burst(Some(SEARCH), 1.8)], 0.6);
+    assert!(result.in_time_share(SEARCH) >= 0.9);
+    assert_each_class_is_served(&result);
+}
+
+/// Guards against starving large jobs, and against late answers, when all classes overload the
+/// instances.
 #[test]
-fn competing_callers() {
-    play_competing(vec![], 0.0);
-    play_competing(vec![], 0.6);
-    play_competing(vec![burst(Some(BOOKING), 2.3)], 0.0);
-    play_competing(vec![burst(Some(BOOKING), 3.2)], 0.0);
-    play_competing(vec![burst(Some(SEARCH), 1.8)], 0.6);
-    play_competing(vec![burst(None, 1.8)], 0.0);
+fn a_burst_of_all_classes_starves_no_class_or_size() {
+    for (runners, factor) in [
+        (COMPETING_RUNNERS, 1.3),
+        (COMPETING_RUNNERS, 1.8),
+        (51, 1.3),
+    ] {
+        let result = play_competing(runners, vec![burst(None, factor)], 0.0);
+        assert!(result.earned_share() >= 0.9);
+        assert!(result.in_time_share(SEARCH) >= 0.9);
+        assert_each_class_is_served(&result);
+    }
+    assert_each_class_is_served(&play_grown(vec![burst(None, 1.8)]));
 }
 
 #[test]
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -3,6 +3,7 @@
 mod listing;
 mod orders;
 mod owners;
+mod postponement;
 mod queue;
 
 pub use owners::Claim;
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -7,6 +7,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::Instant;
 
+use super::postponement::postponed;
 use super::{DriverCall, RefusedStart, RunOutcome, Runs};
 use crate::driver::StartCall;
 use crate::tracked_run::{Owner, Phase, QueuePosition, QueuedStart, TrackedRun};
@@ -34,6 +35,7 @@
             owner,
             order,
             position,
+            ordered_due: position.due,
         };
         self.queued.insert(task, queued);
         Ok(())
@@ -48,6 +50,14 @@
         Some(queued)
     }
 
+    fn move_to(&mut self, task: TaskKey, position: QueuePosition) {
+        if let Some(queued) = self.queued.get_mut(&task) {
+            self.queue_order.remove(&queued.position);
+            queued.position = position;
+            self.queue_order.insert(position);
+        }
+    }
+
     /// Starts queued tasks that fit, the most urgent first.
     ///
     /// A start that does not fit blocks those behind it, so that smaller tasks do not starve large
@@ -58,6 +68,10 @@
             let Some(queued) = self.queued.get(&task) else {
                 break;
             };
+            if let Some(position) = postponed(now, queued) {
+                self.move_to(task, position);
+                continue;
+            }
             let needs = queued.order.needs;
             if self.has_unclaimed()
                 || !self.has_free_capacity(&needs)
--- a/crates/hemlock_runs/src/tracked_run.rs
+++ b/crates/hemlock_runs/src/tracked_run.rs
@@ -79,6 +79,8 @@
     pub(crate) owner: Owner,
     pub(crate) order: StartOrder,
     pub(crate) position: QueuePosition,
+    /// The due time that was ordered; that of the position is later if the start was postponed.
+    pub(crate) ordered_due: Instant,
 }
 
 /// Position of a start in the queue; the smallest is started first.
@@ -87,9 +89,9 @@
 /// ordered, a steady stream of newer ones would keep passing those that wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct QueuePosition {
-    class: u8,
-    priority: u32,
-    due: Instant,
+    pub(crate) class: u8,
+    pub(crate) priority: u32,
+    pub(crate) due: Instant,
     pub(crate) task: TaskKey,
 }
 
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -68,6 +68,32 @@
     assert_eq!(started, vec![1, 9, 5, 2]);
 }
 
+/// Guards against a late start that makes those behind it late too, and against a postponed start
+/// that newer ones keep passing.
+#[test]
+fn a_start_that_cannot_be_on_time_is_postponed_once() {
+    let mut harness = Harness::new();
+    harness.attach(GATEWAY, 1, &[]);
+    harness.start(GATEWAY, 1, 1, 64_000);
+    harness.start(GATEWAY, 1, 9, 64_000);
+    harness.advance_ms(40);
+    harness.start(GATEWAY, 1, 5, 64_000);
+    harness.advance_ms(40);
+    // Task 9 has 20 ms left of its 100 ms, and takes at least half of its declared 60 ms.
+    harness.model.end(task(1), RunEnd::Done);
+    harness.list();
+    let mut ended = 5;
+    for newer in 20..30 {
+        harness.advance_ms(30);
+        harness.start(GATEWAY, 1, newer, 64_000);
+        harness.model.end(task(ended), RunEnd::Done);
+        harness.list();
+        ended = harness.model.started.last().expect("a start").0.job.0;
+    }
+    let started = harness.model.started.iter().map(|run| run.0.job.0);
+    assert_eq!(started.take(4).collect::<Vec<_>>(), vec![1, 5, 9, 20]);
+}
+
 #[test]
 fn orders_of_an_earlier_session_are_refused() {
     let mut harness = Harness::new();
