Measure the pace of an instance and report it

Dispatchers need to tell slow instances from fast ones, while declared durations are off by up to 40 % and few tasks take far longer. The runner keeps a mean of clipped logarithms of actual to declared durations, and discards it when the instance restarts.

--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 pub mod driver;
+mod pace;
 pub mod runs;
 mod tracked_run;
 
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -17,6 +17,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 
 use crate::driver::{StartCall, StopCall};
+use crate::pace::Pace;
 use crate::tracked_run::{Owner, Phase, QueuePosition, QueuedStart, TrackedRun};
 
 /// Lower bound for a run's expected duration when its slowness is calculated, in milliseconds: the
@@ -186,6 +187,8 @@
     /// Start time of the instance in Unix milliseconds, which tells a restarted instance from the
     /// one before.
     instance_born_ms: Option<u64>,
+    /// Pace of the current incarnation of the instance.
+    pace: Pace,
     /// Whether the instance has answered a listing since it was started or last lost.
     reachable: bool,
     clock: Option<ClockReading>,
@@ -235,6 +238,7 @@
             instance: None,
             max_sequence: 0,
             instance_born_ms: None,
+            pace: Pace::default(),
             reachable: false,
             clock: None,
             lease_until_max_ms: 0,
@@ -446,7 +450,7 @@
             slowest_percent: self.slowest_percent(now),
             owners: u32::try_from(self.owners.len()).unwrap_or(u32::MAX),
             share_cpu_milli: capacity / self.owners.len().max(1) as u64,
-            pace_percent: 0,
+            pace_percent: self.pace.percent(),
             last_order: state.map_or(0, |state| state.last_order),
             next_ends_ms: self.next_ends_ms(now),
         }
@@ -569,6 +573,7 @@
             .is_some_and(|current| current != born_ms);
         if self.instance_born_ms != Some(born_ms) {
             self.instance_born_ms = Some(born_ms);
+            self.pace = Pace::default();
             self.ends.clear();
             self.settled = 0;
             self.max_sequence = 0;
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -69,6 +69,10 @@
                 RunEnd::Stopped if stalled => RunEnd::Stalled,
                 end => end,
             };
+            // A stalled run was stopped early, so its duration is a lower bound.
+            if let (Some(tracked), RunEnd::Done | RunEnd::Stalled) = (known, end) {
+                self.pace.add(tracked.expected_ms, tracked.elapsed_ms(now));
+            }
             let report = RunReport {
                 task: ended.task,
                 run: ended.run,
