Place tasks by expected end with pace and distance

The rack was compared before the expected end, so a preferred rack won however long its queue was, and instances of half speed looked like the others. The expected end now covers the relative pace of the instance and, if the remote factor is known, the distance. Tasks with a margin avoid fast instances and racks in demand while these are scarce.

--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod ends;
 mod place;
+mod scarcity;
 mod sessions;
 mod tick;
 mod withdrawal;
@@ -21,6 +22,7 @@
 use crate::instance::Agent;
 use crate::job::{Job, Policy, Step, Task, TaskState, spec_critical_path_ms};
 use crate::order::SessionId;
+use crate::rack_demand::RackDemand;
 use crate::ranking::{Rank, Timeliness, assess_timeliness};
 use crate::settings::DispatchSettings;
 use withdrawal::Withdrawals;
@@ -53,6 +55,11 @@
     queues: HashMap<String, Queue>,
     /// Rates of the admitted work by service.
     admitted: HashMap<String, AdmittedWork>,
+    /// Recent demand for the racks that tasks prefer.
+    rack_demand: RackDemand,
+    next_scarcity_update: Instant,
+    /// Whether any instance is scarce, so that tasks that don't need it go elsewhere.
+    steers: bool,
     next_session: u64,
     /// Lower bound for new run numbers of tasks whose earlier runs are unknown.
     run_floor: RunNumber,
@@ -81,6 +88,9 @@
             rank_changes: BTreeSet::new(),
             queues: HashMap::new(),
             admitted: HashMap::new(),
+            rack_demand: RackDemand::new(now),
+            next_scarcity_update: now,
+            steers: false,
             next_session: 0,
             run_floor: RunNumber(store.generation().saturating_sub(1) * RUNS_PER_GENERATION),
             awaiting_inventory: store.agents().clone(),
@@ -123,6 +133,7 @@
         self.withdrawals.forget(id);
         self.add_job(id, queue, open, DurationMs::new(0), TaskState::Waiting);
         self.note_admitted(id);
+        self.note_rack_demand(id);
     }
 
     fn add_job(
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -30,6 +30,7 @@
     pub fn poll(&mut self, now: Instant) -> Vec<Order> {
         self.advance(now);
         if std::mem::take(&mut self.placement_due) {
+            self.update_scarcity();
             self.place_all();
         }
         let due = |agent: &Agent| !agent.starts.is_empty() || !agent.stops.is_empty();
@@ -113,6 +114,8 @@
             preferred_rack: spec.preferred_rack.as_deref(),
             avoid_agent: task.avoid_agent,
             expected_ms: spec.estimate_ms,
+            remote_factor: self.settings.remote_factor,
+            steers: self.steers,
             level: self.urgency(job).level(),
             max_wait_ms: self.max_queue_wait_ms(job),
         };
@@ -169,7 +172,17 @@
         let Some(step) = job.steps.get(usize::from(key.step)) else {
             return;
         };
-        let (needs, estimate_ms) = (step.spec.needs, step.spec.estimate_ms);
+        let needs = step.spec.needs;
+        // The expectation covers the distance, so that neither the pace nor the health of an
+        // instance suffers from runs of tasks that prefer another rack.
+        let is_remote = step.spec.preferred_rack.as_ref().is_some_and(|rack| {
+            let agent = self.agents.get(&id);
+            !agent.is_some_and(|agent| agent.has_label(rack))
+        });
+        let estimate_ms = match is_remote {
+            true => (step.spec.estimate_ms as f64 * self.settings.remote_factor) as u64,
+            false => step.spec.estimate_ms,
+        };
         let Some(task) = job.task_mut(key) else {
             return;
         };
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -197,7 +197,7 @@
         };
         agent.instance = instance;
         if runs_lost {
-            agent.health = Default::default();
+            agent.forget_runs();
         }
         self.placement_due = true;
     }
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -52,6 +52,12 @@
     pub(crate) last_order: u64,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) health: Health,
+    /// Duration of tasks relative to an instance of usual speed; 1 if unknown.
+    pub(crate) pace: f64,
+    /// Whether the instance is fast and little capacity is free at the fast ones.
+    pub(crate) is_scarce_for_speed: bool,
+    /// Whether much recent work prefers the instance's rack.
+    pub(crate) rack_in_demand: bool,
     /// Starts for the next order.
     pub(crate) starts: Vec<StartOrder>,
     /// Stops for the next order.
@@ -72,6 +78,9 @@
             last_order: 0,
             runs: BTreeMap::new(),
             health: Health::default(),
+            pace: 1.0,
+            is_scarce_for_speed: false,
+            rack_in_demand: false,
             starts: Vec::new(),
             stops: Vec::new(),
         }
@@ -85,6 +94,21 @@
         is_attached && self.instance.as_ref().is_some_and(is_staying)
     }
 
+    /// Whether the instance has a label, such as that of its rack.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        let labels = self.instance.as_ref().map(|instance| &instance.labels);
+        labels.is_some_and(|labels| labels.iter().any(|own| own == label))
+    }
+
+    /// Forgets what was learnt from the runs of an earlier incarnation of the instance.
+    pub(crate) fn forget_runs(&mut self) {
+        self.health = Health::default();
+        self.pace = 1.0;
+        if let Some(load) = &mut self.load {
+            load.pace_percent = 0;
+        }
+    }
+
     /// Free capacity of the instance, as far as is known.
     pub(crate) fn free(&self) -> Resources {
         if let Some(load) = &self.load {
@@ -139,7 +163,8 @@
         let (starts, work) = newer.fold((0, 0), |(starts, work), run| {
             (starts + 1, work + run.needs.cpu_milli * run.expected_ms)
         });
-        (starts, (queued + work) / capacity.max(1))
+        let work_ms = (queued + work) as f64 * self.pace / capacity.max(1) as f64;
+        (starts, work_ms as u64)
     }
 
     /// Adds a run and reserves the capacity that it needs.
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -21,7 +21,9 @@
 mod instance;
 mod job;
 pub mod order;
+mod pace;
 mod placement;
+mod rack_demand;
 mod ranking;
 pub mod settings;
 
