--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod breaker;
 pub mod driver;
+mod pace;
 pub mod runs;
 pub mod shares;
 mod tracked_run;
