--- a/crates/hemlock_telemetry/src/lib.rs
+++ b/crates/hemlock_telemetry/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(child.to_header(), "00-4bf92f3577b34da6a3ce929d0e0e4736-0000000000000007-01");
 //! ```
 
+pub mod batch_writer;
 pub mod error;
 pub mod setup;
 pub mod span;
