Send one update at a time to each gateway and merge what arises meanwhile

A gateway with a quarter of the callers and an eighth of the gateways was short of processor time: each end and each load report cost it a call to read and answer. Updates that arise while one is unanswered are now merged.

--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod runner;
 pub mod subset;
 pub mod task_set;
+pub mod update_queue;
 
 /// The most commonly used items.
 pub mod prelude {
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -13,6 +13,7 @@
 use super::Runner;
 use crate::load_reports::{LoadReports, LoadSummary};
 use crate::message::{InstanceUpdate, Report, RunnerUpdate};
+use crate::update_queue::{PendingUpdate, UpdateQueue};
 
 /// Longest wait for a gateway's answer to an update. A slower gateway keeps its session by pings.
 const UPDATE_TIMEOUT: DurationMs = DurationMs::new(700);
@@ -23,6 +24,7 @@
     link: Link,
     /// Set once the gateway's session has begun.
     session: Option<SessionId>,
+    updates: Rc<RefCell<UpdateQueue>>,
 }
 
 /// The connected gateways.
@@ -41,6 +43,7 @@
                 connection,
                 link,
                 session,
+                updates: Rc::default(),
             },
         );
     }
@@ -75,6 +78,11 @@
         Some((link.link.clone(), link.session?))
     }
 
+    fn updates(&self, gateway: Incarnation) -> Option<Rc<RefCell<UpdateQueue>>> {
+        let links = self.links.borrow();
+        Some(Rc::clone(&links.get(&gateway)?.updates))
+    }
+
     fn in_session(&self) -> Vec<Incarnation> {
         let links = self.links.borrow();
         let attached = links.iter().filter(|(_, link)| link.session.is_some());
@@ -162,23 +170,42 @@
         instance: Option<InstanceUpdate>,
     ) {
         // A gateway that reconnects learns the ends of its runs by claiming them.
+        let Some(updates) = self.gateways.updates(gateway) else {
+            return;
+        };
+        let first = updates
+            .borrow_mut()
+            .push(PendingUpdate { report, instance });
+        let Some(first) = first else {
+            return;
+        };
+        let runner = Rc::clone(self);
+        self.tasks.spawn(async move {
+            let mut next = Some(first);
+            while let Some(update) = next {
+                runner.call_gateway(gateway, update).await;
+                next = updates.borrow_mut().finish();
+            }
+        });
+    }
+
+    async fn call_gateway(&self, gateway: Incarnation, pending: PendingUpdate) {
         let Some((link, session)) = self.gateways.link(gateway) else {
             return;
         };
+        let load_report = self
+            .runs
+            .borrow()
+            .load_report(self.clock.now(), Owner::Gateway(gateway));
         let update = RunnerUpdate {
             agent: self.agent,
             session,
-            report,
-            load_report: self
-                .runs
-                .borrow()
-                .load_report(self.clock.now(), Owner::Gateway(gateway)),
-            instance,
+            report: pending.report,
+            load_report,
+            instance: pending.instance,
         };
-        self.tasks.spawn(async move {
-            let call = link.call::<_, ()>(&update);
-            // A gateway that misses an update gets the ends when it reconnects and claims its runs.
-            let _ = tokio::time::timeout(UPDATE_TIMEOUT.as_std(), call).await;
-        });
+        let call = link.call::<_, ()>(&update);
+        // A gateway that misses an update gets the ends when it reconnects and claims its runs.
+        let _ = tokio::time::timeout(UPDATE_TIMEOUT.as_std(), call).await;
     }
 }
