Record evacuated failure domains in the job store

Operators ask that nothing more is started in a failure domain. The set of these domains and its version are part of the replicated record now, beside the configuration: Command::Evacuate and Command::EndEvacuation are appended to the log's commands, so old log entries stay readable.

--- a/crates/hemlock_jobs/src/command.rs
+++ b/crates/hemlock_jobs/src/command.rs
@@ -51,6 +51,8 @@
 }
 
 /// A change of the job store.
+///
+/// The log encodes a command by its position here, so new ones are added at the end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Starts the term of a leader, as its first command.
@@ -69,6 +71,10 @@
     Delist(AgentId),
     /// Stores the report of an agent's instance, so that the agent can restore it after a restart.
     NoteInstance(AgentId, Box<InstanceReport>),
+    /// Evacuates a failure domain: nothing more is started there.
+    Evacuate(String),
+    /// Ends the evacuation of a failure domain.
+    EndEvacuation(String),
 }
 
 /// Commands that share a log entry.
--- a/crates/hemlock_jobs/src/lib.rs
+++ b/crates/hemlock_jobs/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod command;
 pub mod config;
 pub mod error;
+pub mod evacuation;
 pub mod ids;
 pub mod instance;
 pub mod record;
@@ -28,6 +29,7 @@
     pub use crate::command::{Acceptance, Batch, Command, TaskEnd};
     pub use crate::config::{Configuration, Queue, QueueMatch, ServicePool};
     pub use crate::error::{ConfigurationError, JobSpecError, JobStoreError};
+    pub use crate::evacuation::Evacuations;
     pub use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
     pub use crate::instance::{InstanceId, InstanceReport};
     pub use crate::record::{JobOutcome, JobRecord, OpenJob, TaskProgress};
--- a/crates/hemlock_jobs/src/store.rs
+++ b/crates/hemlock_jobs/src/store.rs
@@ -8,6 +8,7 @@
 use crate::command::{Acceptance, Batch, Command, TaskEnd};
 use crate::config::Configuration;
 use crate::error::JobStoreError;
+use crate::evacuation::Evacuations;
 use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
 use crate::instance::InstanceReport;
 use crate::record::{JobEntry, JobOutcome, JobRecord};
@@ -33,7 +34,8 @@
     Outdated,
 }
 
-/// State machine with every accepted job, the configuration, and the agents that may have runs.
+/// State machine with every accepted job, the configuration, the evacuated failure domains, and the
+/// agents that may have runs.
 ///
 /// Replicas that apply the same batches are equal.
 #[derive(Clone, Debug, Default)]
@@ -48,9 +50,11 @@
     agents: BTreeSet<AgentId>,
     agents_version: u64,
     instances: BTreeMap<AgentId, InstanceReport>,
+    evacuations: Evacuations,
 }
 
-/// The encoded content of a snapshot.
+/// The first part of a snapshot. The evacuations follow it, and are missing from snapshots of
+/// earlier versions, which ignore what follows this part.
 #[derive(Serialize, Deserialize)]
 struct SnapshotData {
     now_ms: u64,
@@ -79,7 +83,11 @@
     ///
     /// Returns an error if `data` is not a valid snapshot.
     pub fn restore(&mut self, data: &[u8]) -> Result<(), JobStoreError> {
-        let stored: SnapshotData = postcard::from_bytes(data)?;
+        let (stored, rest): (SnapshotData, &[u8]) = postcard::take_from_bytes(data)?;
+        let evacuations = match rest {
+            [] => Evacuations::default(),
+            rest => postcard::from_bytes(rest)?,
+        };
         *self = Self {
             now_ms: stored.now_ms,
             retention_ms: self.retention_ms,
@@ -90,6 +98,7 @@
             agents: stored.agents,
             agents_version: stored.agents_version,
             instances: stored.instances,
+            evacuations,
         };
         Ok(())
     }
@@ -116,7 +125,7 @@
             agents_version: self.agents_version,
             instances: self.instances.clone(),
         };
-        Ok(postcard::to_stdvec(&stored)?.into())
+        Ok(postcard::to_stdvec(&(&stored, &self.evacuations))?.into())
     }
 
     /// Applies the commands of a log entry and returns the outcome of each.
@@ -152,6 +161,14 @@
                 self.instances.remove(agent);
                 ApplyOutcome::Done
             }
+            Command::Evacuate(domain) => {
+                self.evacuations.begin(domain);
+                ApplyOutcome::Done
+            }
+            Command::EndEvacuation(domain) => {
+                self.evacuations.end(domain);
+                ApplyOutcome::Done
+            }
         }
     }
 
@@ -229,6 +246,11 @@
         self.configuration.as_ref()
     }
 
+    /// The evacuated failure domains.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// The record of a job, if the job is stored.
     pub fn job(&self, id: JobId) -> Option<&JobRecord> {
         self.jobs.get(&id)
--- a/crates/hemlock_jobs/tests/store.rs
+++ b/crates/hemlock_jobs/tests/store.rs
@@ -157,12 +157,14 @@
                 index: u16::arbitrary(g) % 3,
             };
             let run = RunNumber(1 + u64::arbitrary(g) % 3);
-            match u8::arbitrary(g) % 8 {
+            match u8::arbitrary(g) % 10 {
                 0 | 1 => accept(id, &[2], 2),
                 2 => Command::Cancel(id),
                 3 => Command::Enlist(AgentId(id.0)),
                 4 => Command::Delist(AgentId(id.0)),
                 5 => Command::End(key, run, TaskEnd::Failed),
+                6 => Command::Evacuate(id.to_string()),
+                7 => Command::EndEvacuation(id.to_string()),
                 _ => Command::End(key, run, TaskEnd::Done),
             }
         };
