Place nothing on evacuated instances, and little on cold ones

A dispatcher skips an instance whose failure domain is evacuated, by its own copy of the set or because the agent says that it takes nothing; admission doesn't count it, and rejects new work at once while all instances of a service are evacuated. The agent makes the last check: it refuses new and queued starts with the new reason `evacuated`. A refusal counts neither as a failure of the instance nor as an attempt of the task.

After an evacuation instances may be cold. The agent withholds three quarters of the capacity of a fully cold instance and less as the rest of its cold phase runs out, over all owners together, since each owner would otherwise fill the same empty instance. It reports the percentage withheld with the load; dispatchers place on a cold instance only what fits at once. One task of any size is admitted while the instance is idle, because a task larger than a quarter would find no place while all instances are cold.

With nothing withheld and nothing evacuated all decisions are as before.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -45,6 +45,13 @@
         time_left: Option<DurationMs>,
     ) -> Result<(), AdmissionError> {
         self.advance(now);
+        if self.is_evacuated(&queue.service) {
+            // The operator ends the evacuation at a time that isn't known here.
+            return Err(AdmissionError {
+                expected_wait_ms: self.settings.retry_after_min_ms,
+                retry_after_ms: self.settings.retry_after_min_ms,
+            });
+        }
         let policy = Policy::of(queue);
         let critical_path_ms = spec_critical_path_ms(spec);
         let slack_ms = policy
@@ -78,15 +85,19 @@
         admitted.add(self.now, level, work);
     }
 
+    /// Whether the service has instances and all of them are evacuated, so that nothing can start.
+    fn is_evacuated(&self, service: &str) -> bool {
+        let agents = self.agents.values().filter(|agent| agent.is_available());
+        let mut agents = agents.filter(|agent| agent.serves(service)).peekable();
+        agents.peek().is_some() && agents.all(Agent::is_evacuated)
+    }
+
     /// Expected wait of new work of the given priority, in milliseconds. It covers the work that
     /// goes first in the dispatcher and in the queues of the instances, and more urgent work that
     /// arrives meanwhile.
     fn expected_wait_ms(&self, service: &str, priority: u32) -> u64 {
         let level = Urgency::of_new_work(priority).level();
-        let own_service = |agent: &&Agent| {
-            let instance = agent.instance.as_ref();
-            instance.is_some_and(|instance| instance.service == service)
-        };
+        let own_service = |agent: &&Agent| agent.serves(service);
         let agents = self.agents.values().filter(|agent| agent.accepts_work());
         // The short queue of an instance that receives no work must not lower the expected wait.
         let healthy = |agent: &&Agent| agent.health.admits(self.now, agent.runs.len());
@@ -94,7 +105,7 @@
         // CPU that this dispatcher can count on: its reported share of instances that are shared.
         let share = |agent: &&Agent| {
             let capacity = agent.instance.as_ref().map_or(0, |i| i.capacity.cpu_milli);
-            agent.load.map_or(capacity, |load| load.share_cpu_milli)
+            agent.usable_share(agent.load.map_or(capacity, |load| load.share_cpu_milli))
         };
         let share: u64 = agents.iter().map(share).sum();
         if share == 0 {
--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -167,7 +167,8 @@
             RefusalReason::NoRoom
             | RefusalReason::NoInstance
             | RefusalReason::Session
-            | RefusalReason::Withdrawn => {}
+            | RefusalReason::Withdrawn
+            | RefusalReason::Evacuated => {}
             // Another owner of the same job has used higher run numbers.
             RefusalReason::Outdated => self.skip_run_numbers(task),
         }
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -51,6 +51,8 @@
     /// Instants after which the rank of a job changes by the passage of time.
     rank_changes: BTreeSet<(Instant, JobId)>,
     queues: HashMap<String, Queue>,
+    /// Failure domains in which nothing is placed.
+    evacuations: Evacuations,
     /// Rates of the admitted work by service.
     admitted: HashMap<String, AdmittedWork>,
     next_session: u64,
@@ -80,6 +82,7 @@
             ready: BTreeSet::new(),
             rank_changes: BTreeSet::new(),
             queues: HashMap::new(),
+            evacuations: store.evacuations().clone(),
             admitted: HashMap::new(),
             next_session: 0,
             run_floor: RunNumber(store.generation().saturating_sub(1) * RUNS_PER_GENERATION),
@@ -117,6 +120,23 @@
         self.placement_due = true;
     }
 
+    /// Takes over the evacuated failure domains, in which nothing is placed from now on, if their
+    /// version is higher than that of the known ones. Returns whether it is.
+    pub fn set_evacuations(&mut self, evacuations: &Evacuations) -> bool {
+        let newer = self.evacuations.update(evacuations);
+        if newer {
+            let agents = self.agents.values_mut();
+            agents.for_each(|agent| agent.note_evacuations(evacuations));
+            self.placement_due = true;
+        }
+        newer
+    }
+
+    /// The evacuated failure domains.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Adds a job that the job store has just accepted.
     pub fn job_accepted(&mut self, now: Instant, id: JobId, queue: &str, open: &OpenJob) {
         self.advance(now);
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -28,6 +28,7 @@
         agent.adopted = false;
         agent.retiring = false;
         agent.load = None;
+        agent.withheld_percent = 0;
         agent.starts.clear();
         agent.stops.clear();
         session
@@ -45,10 +46,12 @@
         inventory: &Inventory,
     ) -> Option<Adoption> {
         self.advance(now);
-        let agent = self.agent_in_session(id, session)?;
+        self.agent_in_session(id, session)?;
+        let agent = self.agents.get_mut(&id)?;
         agent.adopted = true;
         agent.confirmed = now;
         agent.instance.clone_from(&inventory.instance);
+        agent.note_evacuations(&self.evacuations);
         let known: Vec<(TaskKey, RunNumber)> = agent
             .runs
             .iter()
@@ -192,10 +195,14 @@
         runs_lost: bool,
     ) {
         self.advance(now);
-        let Some(agent) = self.agent_in_session(id, session) else {
+        if self.agent_in_session(id, session).is_none() {
+            return;
+        }
+        let Some(agent) = self.agents.get_mut(&id) else {
             return;
         };
         agent.instance = instance;
+        agent.note_evacuations(&self.evacuations);
         if runs_lost {
             agent.health = Default::default();
         }
@@ -214,12 +221,23 @@
         if let Some(agent) = self.agent_in_session(id, session) {
             let percent = f64::from(load.slowest_percent);
             agent.health.note_slowest_running(percent / 100.0);
+            agent.withheld_percent = load.withheld_percent;
             agent.load = Some(load);
             agent.load_at = now;
             self.placement_due = true;
         }
     }
 
+    /// Records which percentage of the instance's capacity gets no new starts. Load reports carry it
+    /// as well.
+    pub fn set_withheld(&mut self, id: AgentId, session: SessionId, withheld_percent: u32) {
+        if let Some(agent) = self.agent_in_session(id, session) {
+            let changed = agent.withheld_percent != withheld_percent;
+            agent.withheld_percent = withheld_percent;
+            self.placement_due |= changed;
+        }
+    }
+
     /// The runs that may be at an agent's instance, with the capacity they occupy.
     pub fn runs_of(&self, id: AgentId) -> Vec<(TaskKey, RunNumber, Resources)> {
         let agent = self.agents.get(&id);
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -6,7 +6,7 @@
 use hemlock_types::time::Instant;
 
 use crate::health::Health;
-use crate::order::{LoadReport, REPORTED_ENDS, SessionId, StartOrder, StopOrder};
+use crate::order::{LoadReport, REPORTED_ENDS, SessionId, StartOrder, StopOrder, WITHHOLDS_ALL};
 
 /// Expected time until the next end at the instances that placement chooses when all are full, in
 /// milliseconds.
@@ -39,6 +39,10 @@
     pub(crate) adopted: bool,
     /// Whether the agent gets no more starts, because the dispatcher is about to leave it.
     pub(crate) retiring: bool,
+    /// Whether the failure domain of the instance is evacuated, as far as the dispatcher knows.
+    pub(crate) evacuated: bool,
+    /// Percentage of the instance's capacity that gets no new starts, as the agent last reported.
+    pub(crate) withheld_percent: u32,
     /// When the leader last confirmed the agent's authority.
     pub(crate) confirmed: Instant,
     pub(crate) instance: Option<InstanceReport>,
@@ -64,6 +68,8 @@
             session: None,
             adopted: false,
             retiring: false,
+            evacuated: false,
+            withheld_percent: 0,
             confirmed: now,
             instance: None,
             used: Resources::default(),
@@ -77,16 +83,63 @@
         }
     }
 
+    /// Whether the agent has an instance that is available and may get new starts.
+    pub(crate) fn accepts_work(&self) -> bool {
+        self.is_available() && !self.is_evacuated()
+    }
+
+    /// Whether nothing may be started at the instance. The agent may know of an evacuation before
+    /// the dispatcher, or of its end later.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.evacuated || self.withheld_percent >= WITHHOLDS_ALL
+    }
+
     /// Whether the agent is in session, has sent its inventory, isn't retiring, and has an instance
     /// that is not draining.
-    pub(crate) fn accepts_work(&self) -> bool {
+    pub(crate) fn is_available(&self) -> bool {
         let is_staying = |instance: &InstanceReport| !instance.draining;
         let is_attached = self.session.is_some() && self.adopted && !self.retiring;
         is_attached && self.instance.as_ref().is_some_and(is_staying)
     }
 
-    /// Free capacity of the instance, as far as is known.
+    /// Whether the instance is of the service.
+    pub(crate) fn serves(&self, service: &str) -> bool {
+        let instance = self.instance.as_ref();
+        instance.is_some_and(|instance| instance.service == service)
+    }
+
+    /// Updates whether the failure domain of the instance is evacuated.
+    pub(crate) fn note_evacuations(&mut self, evacuations: &Evacuations) {
+        let is_evacuated =
+            |instance: &InstanceReport| evacuations.contains(&instance.failure_domain);
+        self.evacuated = self.instance.as_ref().is_some_and(is_evacuated);
+    }
+
+    /// The part of an amount of the instance's capacity that may be used for new starts.
+    pub(crate) fn usable_share(&self, amount: u64) -> u64 {
+        let withheld_percent = self.withheld_percent.min(WITHHOLDS_ALL);
+        amount * u64::from(WITHHOLDS_ALL - withheld_percent) / u64::from(WITHHOLDS_ALL)
+    }
+
+    /// Whether a task may be placed at the instance although it can't be queued there.
+    ///
+    /// A cold instance runs its tasks slowly, so a queue there would wait longer than expected. It
+    /// gets only what fits at once, and a single task of any size.
+    pub(crate) fn admits_while_cold(&self, needs: &Resources) -> bool {
+        let capacity = self.instance.as_ref().map(|instance| instance.capacity);
+        let is_idle = Some(self.unused()) == capacity;
+        self.withheld_percent == 0 || is_idle || self.free().fits(needs)
+    }
+
+    /// Free capacity of the instance for new starts, as far as is known.
     pub(crate) fn free(&self) -> Resources {
+        let capacity = self.instance.as_ref().map(|instance| instance.capacity);
+        let withheld = capacity.unwrap_or_default().percent(self.withheld_percent);
+        self.unused().saturating_sub(&withheld)
+    }
+
+    /// Capacity that is taken neither by runs nor by queued starts, as far as is known.
+    fn unused(&self) -> Resources {
         if let Some(load) = &self.load {
             let mut unknown_to_agent = Resources::default();
             let runs = self.runs.values();
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -30,7 +30,7 @@
     pub use crate::dispatcher::{AdmissionError, Dispatcher, JobStage, Withdrawal};
     pub use crate::order::{
         EndAction, Inventory, LoadReport, Order, REPORTED_ENDS, RefusalReason, RunEnd, RunReport,
-        SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
+        SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency, WITHHOLDS_ALL,
     };
     pub use crate::settings::{CapacitySource, DispatchSettings, longest_lease};
     pub use hemlock_jobs::prelude::{InstanceId, InstanceReport};
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -133,6 +133,9 @@
     }
 }
 
+/// Value of [`LoadReport::withheld_percent`] of an instance that gets no new starts.
+pub const WITHHOLDS_ALL: u32 = 100;
+
 /// Number of expected ends in a load report. Few starts wait at an instance at once.
 pub const REPORTED_ENDS: usize = 4;
 
@@ -158,6 +161,9 @@
     /// Expected times until the next runs end, in ascending order and in milliseconds. Zero for each
     /// that is missing because fewer runs are active.
     pub next_ends_ms: [u32; REPORTED_ENDS],
+    /// Percentage of the instance's capacity that gets no new starts: [`WITHHOLDS_ALL`] while its
+    /// failure domain is evacuated, less while the instance is cold, otherwise zero.
+    pub withheld_percent: u32,
 }
 
 /// An order to stop a run.
@@ -210,6 +216,9 @@
     /// The instance did not answer the start, and later confirmed that the task is not running.
     #[display("unanswered")]
     Unanswered,
+    /// The failure domain of the instance is evacuated.
+    #[display("evacuated")]
+    Evacuated,
 }
 
 /// How to handle the end of a run that an agent has reported.
--- a/crates/hemlock_dispatch/src/placement.rs
+++ b/crates/hemlock_dispatch/src/placement.rs
@@ -94,7 +94,12 @@
         let capacity = agent.instance.as_ref().map(|instance| instance.capacity);
         capacity.is_some_and(|capacity| capacity.fits(&request.needs))
     };
+    if !agent.admits_while_cold(&request.needs) {
+        return false;
+    }
     match source {
+        // A cold instance that was not ruled out above has a place for the task.
+        CapacitySource::Local if agent.withheld_percent > 0 => fits_when_idle(),
         CapacitySource::Local => agent.free().fits(&request.needs),
         CapacitySource::Reported => {
             let wait_ms = agent.expected_wait_ms(now, &request.needs, request.level);
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -74,6 +74,7 @@
             pace_percent: 0,
             last_order: 0,
             next_ends_ms: [next_end_ms; REPORTED_ENDS],
+            withheld_percent: 0,
         };
         let session = self.sessions[usize::try_from(agent).expect("a small number")];
         self.dispatcher
--- a/crates/hemlock_jobs/src/spec.rs
+++ b/crates/hemlock_jobs/src/spec.rs
@@ -62,6 +62,19 @@
         self.accelerators -= amount.accelerators;
     }
 
+    /// The given percentage of this amount, at most all of it, rounded down.
+    #[must_use]
+    pub fn percent(&self, percent: u32) -> Self {
+        /// Percentage that stands for the whole.
+        const WHOLE: u64 = 100;
+        let percent = u64::from(percent).min(WHOLE);
+        Self {
+            cpu_milli: self.cpu_milli * percent / WHOLE,
+            memory_mb: self.memory_mb * percent / WHOLE,
+            accelerators: self.accelerators * percent / WHOLE,
+        }
+    }
+
     /// This amount minus `used`, with zero for each resource of which more is used.
     #[must_use]
     pub fn saturating_sub(&self, used: &Self) -> Self {
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -71,6 +71,7 @@
                 instance: instance(&self.deployment, runner),
                 clock_ms: 0,
                 sequence: 1,
+                cold_left_ms: 0,
             };
             runs.heartbeat_received(now, heartbeat);
             let listing = model.list(&list_call(&mut runs, now)).expect("no fence");
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -4,6 +4,7 @@
 mod orders;
 mod owners;
 mod queue;
+mod start_limit;
 
 pub use owners::Claim;
 
@@ -18,6 +19,7 @@
 
 use crate::driver::{StartCall, StopCall};
 use crate::tracked_run::{Owner, Phase, QueuePosition, QueuedStart, TrackedRun};
+use start_limit::ColdPhase;
 
 /// Lower bound for a run's expected duration when its slowness is calculated, in milliseconds: the
 /// delay before an end is reported would make shorter runs look slow.
@@ -84,6 +86,9 @@
     /// Increases with each heartbeat since the instance was started, so that late ones are
     /// detected.
     pub sequence: u64,
+    /// Time for which the instance will still be slow, in milliseconds; zero if it isn't, or if it
+    /// doesn't report it.
+    pub cold_left_ms: u64,
 }
 
 /// Change of the instance that its owners must be told.
@@ -181,6 +186,9 @@
     fence_accepted: bool,
     owners: BTreeMap<Owner, OwnerState>,
     instance: Option<InstanceReport>,
+    /// Failure domains in which nothing is started.
+    evacuations: Evacuations,
+    cold: ColdPhase,
     /// Highest sequence number of the instance's heartbeats.
     max_sequence: u64,
     /// Start time of the instance in Unix milliseconds, which tells a restarted instance from the
@@ -233,6 +241,8 @@
             fence_accepted: false,
             owners: BTreeMap::new(),
             instance: None,
+            evacuations: Evacuations::default(),
+            cold: ColdPhase::default(),
             max_sequence: 0,
             instance_born_ms: None,
             reachable: false,
@@ -449,6 +459,7 @@
             pace_percent: 0,
             last_order: state.map_or(0, |state| state.last_order),
             next_ends_ms: self.next_ends_ms(now),
+            withheld_percent: self.withheld_percent(now),
         }
     }
 
@@ -504,6 +515,8 @@
         let changed = self.instance.as_ref() != Some(&heartbeat.instance);
         let draining = heartbeat.instance.draining;
         self.instance = Some(heartbeat.instance);
+        self.note_cold_left(now, heartbeat.cold_left_ms);
+        self.refuse_queue_if_evacuated();
         if draining {
             self.refuse_queue(RefusalReason::NoInstance);
         }
@@ -578,6 +591,7 @@
             self.lapse_all_runs(now);
             self.reachable = false;
             self.clock = None;
+            self.cold = ColdPhase::default();
         }
         restarted
     }
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -39,8 +39,10 @@
             let result = match (in_session, for_instance) {
                 (false, _) => Err(RefusalReason::Session),
                 (true, false) => Err(RefusalReason::NoInstance),
+                _ if self.is_evacuated() => Err(RefusalReason::Evacuated),
                 _ if self.is_known(task) => Err(RefusalReason::Outdated),
                 _ if !self.fits_instance(&start.needs) => Err(RefusalReason::NoRoom),
+                _ if !self.admits_while_cold(now, &start.needs) => Err(RefusalReason::NoRoom),
                 _ => self.enqueue(now, owner, start),
             };
             if let Err(reason) = result {
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -60,6 +60,7 @@
             };
             let needs = queued.order.needs;
             if self.has_unclaimed()
+                || self.is_evacuated()
                 || !self.has_free_capacity(&needs)
                 || self.table.contains_key(&task)
             {
--- a/crates/hemlock_runs/tests/harness/mod.rs
+++ b/crates/hemlock_runs/tests/harness/mod.rs
@@ -90,6 +90,7 @@
             instance: report,
             clock_ms: self.model.clock_ms,
             sequence: self.heartbeat_count,
+            cold_left_ms: 0,
         };
         self.runs.heartbeat_received(self.now, heartbeat)
     }
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -437,6 +437,7 @@
         instance: late,
         clock_ms: 10,
         sequence: 99,
+        cold_left_ms: 0,
     };
     assert_eq!(
         harness.runs.heartbeat_received(harness.now, heartbeat),
@@ -448,6 +449,7 @@
         instance: earlier,
         clock_ms: 10,
         sequence: 1,
+        cold_left_ms: 0,
     };
     assert_eq!(
         harness.runs.heartbeat_received(harness.now, heartbeat),
--- a/crates/hemlock_runs/tests/simulation/runners.rs
+++ b/crates/hemlock_runs/tests/simulation/runners.rs
@@ -60,6 +60,7 @@
                 instance: instance(index, runner.model.born_ms),
                 clock_ms: runner.model.clock_ms,
                 sequence: runner.heartbeat_count,
+                cold_left_ms: 0,
             };
             let change = runner.runs.heartbeat_received(now, heartbeat);
             self.report_instance_change(index, change);
