Distribute evacuations and serve operators' requests in the processes

The coordinator takes operators' changes from its handle and over the wire, where they need the new role `Operator`, and answers them with a type of their own once they are committed. It proposes nothing whose sender has left meanwhile: the operator may have withdrawn the request since, and a late one would stay in force. Long polls of gateways and pings of runners carry the version of the set and are answered with a newer one, as confirmed reads; a runner also gets it when its session begins, if the leader's lease excludes another leader. A runner whose set changes tells its gateways at once and the leader with another ping.

--- a/crates/hemlock_keeper/src/shell/lane.rs
+++ b/crates/hemlock_keeper/src/shell/lane.rs
@@ -87,6 +87,10 @@
             Err(error) => return std::future::ready(Err(error.into())).boxed_local(),
         };
         match request {
+            // Operators use the HTTP API.
+            _ if peer.role == Role::Operator => {
+                std::future::ready(Err(ServiceError::Forbidden)).boxed_local()
+            }
             KeeperRequest::Quorum(_) | KeeperRequest::Operator { .. }
                 if peer.role != Role::Keeper =>
             {
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -14,13 +14,14 @@
 use super::CoordinatorSettings;
 use super::disk::Disk;
 use super::error::CoordinatorError;
+use super::evacuations::{answer_operator, log_abandoned};
 use super::handle::ConfigureAnswer;
 use super::input::Input;
 use super::peers::Peers;
 use super::service::CoordinatorService;
 use super::waiters::{CommandWaiter, ReadWaiter, reply};
 use super::watchers::Watchers;
-use crate::message::{CallerAnswer, Reply, RunnerReply, RunnerRequest};
+use crate::message::{CallerAnswer, EvacuationAnswer, Reply, RunnerReply, RunnerRequest};
 use crate::task_set::TaskSet;
 
 /// Most inputs handled in one iteration.
@@ -70,6 +71,8 @@
     failure: Option<CoordinatorError>,
     /// Role of this keeper and the leader, as last logged.
     logged_role: (QuorumRole, Option<KeeperId>),
+    /// Version of the evacuations that were logged last.
+    pub(super) logged_evacuations: u64,
 }
 
 impl Control {
@@ -109,6 +112,7 @@
             drain_until: None,
             failure: None,
             logged_role: (QuorumRole::Follower, None),
+            logged_evacuations: 0,
         }
     }
 
@@ -153,8 +157,12 @@
                 let waiter = CommandWaiter::Operator(answer);
                 self.propose(Command::Configure(configuration), waiter);
             }
+            Input::Evacuation(change, answer) => self.change_evacuations(change, answer),
             Input::Read(answer) => self.read(ReadWaiter::Configuration(answer)),
-            Input::OrderAnswered(agent, session, refused) => {
+            Input::OrderAnswered(agent, session, refused, withheld_percent) => {
+                if let Some(dispatcher) = self.dispatcher.as_mut() {
+                    dispatcher.set_withheld(agent, session, withheld_percent);
+                }
                 self.handle_refused_starts(agent, session, &refused);
             }
             Input::OrderLost(agent, session) => self.close_session(agent, session),
@@ -216,7 +224,10 @@
         match action {
             Action::Send { to, message } => self.peers.send(to, message),
             Action::Persist(_) => {}
-            Action::Restore(snapshot) => self.store.restore(&snapshot.data)?,
+            Action::Restore(snapshot) => {
+                self.store.restore(&snapshot.data)?;
+                self.note_evacuations();
+            }
             Action::Apply(entry) => self.apply(&entry),
             Action::TakeSnapshot { index } => {
                 let data = self.store.snapshot()?;
@@ -300,6 +311,11 @@
         self.dispatcher.is_some() && until.is_some_and(|until| self.clock.now() < until)
     }
 
+    /// Whether this keeper leads, even if it has committed nothing yet.
+    pub(super) fn is_leading(&self) -> bool {
+        self.term.is_some()
+    }
+
     pub(super) fn propose(&mut self, command: Command, waiter: CommandWaiter) {
         match self.term {
             Some(_) => self.pending_commands.push((command, waiter)),
@@ -311,6 +327,10 @@
         if self.pending_commands.is_empty() || self.now < self.last_batch + BATCH_INTERVAL {
             return;
         }
+        self.drop_abandoned_commands();
+        if self.pending_commands.is_empty() {
+            return;
+        }
         self.last_batch = self.now;
         let (base_ms, since) = self.store_clock;
         let at_ms = base_ms + self.now.since(since).as_ms();
@@ -334,6 +354,18 @@
         }
     }
 
+    /// Drops changes of the evacuations whose operators have left. They may have withdrawn their
+    /// requests since, and a late change would stay in force.
+    fn drop_abandoned_commands(&mut self) {
+        self.pending_commands.retain(|(_, waiter)| match waiter {
+            CommandWaiter::Evacuation(change, answer) if answer.is_closed() => {
+                log_abandoned(change);
+                false
+            }
+            _ => true,
+        });
+    }
+
     pub(super) fn allocate_token(&mut self) -> ProposalToken {
         self.next_token += 1;
         ProposalToken(self.next_token)
@@ -352,9 +384,15 @@
             }
         };
         let before = self.store.configuration().map(|held| held.version);
+        let evacuations_before = self.store.evacuations().version();
         let results = self.store.apply(&batch);
         let after = self.store.configuration().map(|held| held.version);
         assert!(before <= after, "the configuration version decreased");
+        assert!(
+            evacuations_before <= self.store.evacuations().version(),
+            "the version of the evacuations decreased"
+        );
+        self.note_evacuations();
         if before != after {
             info!(
                 event = "configured",
@@ -387,6 +425,9 @@
             (Command::Configure(configuration), ApplyOutcome::Configured) => {
                 dispatcher.configure(configuration);
             }
+            (Command::Evacuate(_) | Command::EndEvacuation(_), _) => {
+                dispatcher.set_evacuations(store.evacuations());
+            }
             (Command::Cancel(id), ApplyOutcome::Ended(_)) => dispatcher.job_ended(*id),
             (Command::End(key, _, _), ApplyOutcome::Ended(outcome)) => {
                 info!(event = "job-ended", job = %key.job, outcome = ?outcome);
@@ -436,6 +477,10 @@
                 // The operator may have disconnected, and then sends its request again.
                 let _ = answer.send(ConfigureAnswer::Done);
             }
+            CommandWaiter::Evacuation(change, answer) => {
+                let version = self.store.evacuations().version();
+                answer_operator(&change, answer, EvacuationAnswer::Done(version));
+            }
             CommandWaiter::Caller(answer) => {
                 let caller_answer = match (command, result) {
                     (Command::Accept(_), _) => CallerAnswer::Accepted,
@@ -459,6 +504,10 @@
                 // The operator may have disconnected, and then sends its request again.
                 let _ = answer.send(ConfigureAnswer::NotLeader(self.other_leader()));
             }
+            CommandWaiter::Evacuation(change, answer) => {
+                let leader = self.other_leader();
+                answer_operator(&change, answer, EvacuationAnswer::NotLeader(leader));
+            }
         }
     }
 
@@ -470,6 +519,9 @@
                 // The operator may have disconnected, and then sends its request again.
                 let _ = answer.send(ConfigureAnswer::Undecided);
             }
+            CommandWaiter::Evacuation(change, answer) => {
+                answer_operator(&change, answer, EvacuationAnswer::Undecided);
+            }
             waiter => self.refuse(waiter),
         }
     }
@@ -513,7 +565,9 @@
     };
     let input = match answer {
         Some(RunnerReply::Ordered(refused, _)) if refused.is_empty() => return,
-        Some(RunnerReply::Ordered(refused, _)) => Input::OrderAnswered(agent, session, refused),
+        Some(RunnerReply::Ordered(refused, load)) => {
+            Input::OrderAnswered(agent, session, refused, load.withheld_percent)
+        }
         Some(_) | None => Input::OrderLost(agent, session),
     };
     // Sending fails only when the control loop has ended, and all sessions with it.
--- a/crates/hemlock_nodes/src/coordinator/handle.rs
+++ b/crates/hemlock_nodes/src/coordinator/handle.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::input::Input;
+use crate::message::{EvacuationAnswer, EvacuationChange, Reply};
 
 /// The answer to a new configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +55,19 @@
         }
     }
 
+    /// Changes the evacuated failure domains. The change is not proposed any more once the future is
+    /// dropped.
+    pub async fn change_evacuations(&self, change: EvacuationChange) -> EvacuationAnswer {
+        let (sender, answer) = oneshot::channel();
+        match self.inputs.send(Input::Evacuation(change, sender)) {
+            Ok(()) => match answer.await {
+                Ok(Reply::Evacuation(answer)) => answer,
+                Ok(_) | Err(_) => EvacuationAnswer::Undecided,
+            },
+            Err(_) => EvacuationAnswer::NotLeader(None),
+        }
+    }
+
     /// Reads the configuration in force.
     pub async fn read_configuration(&self) -> ReadAnswer {
         let (sender, answer) = oneshot::channel();
--- a/crates/hemlock_nodes/src/coordinator/input.rs
+++ b/crates/hemlock_nodes/src/coordinator/input.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::handle::{ConfigureAnswer, ReadAnswer};
-use crate::message::{Reply, Request};
+use crate::message::{EvacuationChange, Reply, Request};
 
 /// An input of the control loop.
 pub(super) enum Input {
@@ -20,10 +20,13 @@
     Closed(ConnectionId),
     /// An operator sends a configuration.
     Configure(Box<Configuration>, oneshot::Sender<ConfigureAnswer>),
+    /// An operator changes the evacuated failure domains.
+    Evacuation(EvacuationChange, oneshot::Sender<Reply>),
     /// An operator reads the configuration.
     Read(oneshot::Sender<ReadAnswer>),
-    /// A runner answered orders with the starts that it refused.
-    OrderAnswered(AgentId, SessionId, Vec<RefusedStart>),
+    /// A runner answered orders with the starts that it refused and the percentage of its instance
+    /// that gets no new ones.
+    OrderAnswered(AgentId, SessionId, Vec<RefusedStart>, u32),
     /// A runner may not have received an order.
     OrderLost(AgentId, SessionId),
     /// All disk work up to this id is durable.
--- a/crates/hemlock_nodes/src/coordinator/mod.rs
+++ b/crates/hemlock_nodes/src/coordinator/mod.rs
@@ -3,6 +3,7 @@
 mod control;
 mod disk;
 mod error;
+mod evacuations;
 mod handle;
 mod input;
 mod peers;
@@ -15,6 +16,7 @@
 pub use error::CoordinatorError;
 pub use handle::{ConfigureAnswer, CoordinatorHandle, ReadAnswer};
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -60,6 +62,9 @@
     pub dispatch: DispatchSettings,
     /// Retention of ended jobs, in milliseconds.
     pub retention_ms: u64,
+    /// Failure domains of the deployment, which operators may evacuate. If empty, all names are
+    /// valid.
+    pub failure_domains: BTreeSet<String>,
 }
 
 /// A coordinator that is not running yet.
--- a/crates/hemlock_nodes/src/coordinator/reads.rs
+++ b/crates/hemlock_nodes/src/coordinator/reads.rs
@@ -7,7 +7,8 @@
 use super::control::Control;
 use super::handle::ReadAnswer;
 use super::waiters::{ReadWaiter, reply};
-use crate::message::{CallerAnswer, JobState, Reply};
+use super::watchers::WatchedVersions;
+use crate::message::{CallerAnswer, EvacuationsAnswer, JobState, Reply};
 
 impl Control {
     pub(super) fn read(&mut self, waiter: ReadWaiter) {
@@ -57,27 +58,40 @@
             }
             ReadWaiter::Watch(watcher) => {
                 let configuration = self.store.configuration();
-                let newer = configuration.filter(|held| held.version > watcher.configuration);
+                let newer = configuration.filter(|held| held.version > watcher.held.configuration);
                 let version = self.store.agents_version();
-                let agents = (version != watcher.agents)
+                let agents = (version != watcher.held.agents)
                     .then(|| (version, self.store.agents().iter().copied().collect()));
                 let configuration = newer.cloned().map(Box::new);
+                let evacuations = self.newer_evacuations(watcher.held.evacuations);
                 reply(
                     watcher.answer,
                     Reply::Watched {
                         configuration,
                         agents,
+                        evacuations,
                     },
                 );
             }
-            ReadWaiter::Ping(None, answer) => reply(answer, Reply::Done),
-            ReadWaiter::Ping(Some((agent, session)), answer) => {
-                let dispatcher = self.dispatcher.as_mut();
-                let holds = dispatcher.is_some_and(|d| d.confirm(now, agent, session));
+            ReadWaiter::Evacuations(answer) => {
+                let current = EvacuationsAnswer::Current(self.store.evacuations().clone());
+                reply(answer, Reply::Evacuations(current));
+            }
+            ReadWaiter::Ping(None, answer) => {
+                let evacuations = None;
+                reply(answer, Reply::Confirmed { evacuations });
+            }
+            ReadWaiter::Ping(Some(ping), answer) => {
+                let (agent, session) = (ping.agent, ping.session);
+                let holds = self.dispatcher.as_mut().is_some_and(|dispatcher| {
+                    dispatcher.set_withheld(agent, session, ping.withheld_percent);
+                    dispatcher.confirm(now, agent, session)
+                });
+                let evacuations = self.newer_evacuations(ping.evacuations);
                 reply(
                     answer,
                     if holds {
-                        Reply::Done
+                        Reply::Confirmed { evacuations }
                     } else {
                         Reply::VoidSession
                     },
@@ -104,6 +118,10 @@
                 // The operator may have disconnected, and then sends its request again.
                 let _ = answer.send(ReadAnswer::NotLeader(self.other_leader()));
             }
+            ReadWaiter::Evacuations(answer) => {
+                let refusal = EvacuationsAnswer::NotLeader(self.other_leader());
+                reply(answer, Reply::Evacuations(refusal));
+            }
             ReadWaiter::Watch(watcher) => reply(watcher.answer, Reply::NotLeader),
             ReadWaiter::JobState(_, answer)
             | ReadWaiter::QueueCount(_, answer)
@@ -114,9 +132,12 @@
 
     /// Queues reads for the long polls with a change or an elapsed timeout.
     pub(super) fn answer_watchers(&mut self) {
-        let configuration = self.store.configuration().map_or(0, |held| held.version);
-        let agents = self.store.agents_version();
-        for watcher in self.watchers.take_due(self.now, configuration, agents) {
+        let current = WatchedVersions {
+            configuration: self.store.configuration().map_or(0, |held| held.version),
+            agents: self.store.agents_version(),
+            evacuations: self.store.evacuations().version(),
+        };
+        for watcher in self.watchers.take_due(self.now, current) {
             self.read(ReadWaiter::Watch(watcher));
         }
     }
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -10,6 +10,7 @@
 
 use super::control::Control;
 use super::waiters::{AnswerGroup, CommandWaiter, ReadWaiter, reply};
+use super::watchers::WatchedVersions;
 use crate::message::{
     CallerAction, CallerAnswer, CallerRequest, Rejection, Reply, Report, Request,
 };
@@ -27,17 +28,27 @@
         match (request, peer.role) {
             (Request::WhoLeads, _) => reply(answer, self.who_leads()),
             (Request::Call(call), Role::Entry) => self.handle_call(call, answer),
-            (Request::Ping(session), _) => self.read(ReadWaiter::Ping(session, answer)),
+            (Request::Ping(ping), Role::Entry | Role::Agent) => {
+                self.read(ReadWaiter::Ping(ping, answer));
+            }
             (
                 Request::Watch {
                     configuration,
                     agents,
+                    evacuations,
                 },
                 Role::Entry,
-            ) => match self.dispatcher.is_some() {
-                true => self.watchers.add(self.now, configuration, agents, answer),
-                false => reply(answer, Reply::NotLeader),
-            },
+            ) => {
+                let held = WatchedVersions {
+                    configuration,
+                    agents,
+                    evacuations,
+                };
+                match self.dispatcher.is_some() {
+                    true => self.watchers.add(self.now, held, answer),
+                    false => reply(answer, Reply::NotLeader),
+                }
+            }
             (Request::Register(agent), Role::Agent) => {
                 self.handle_registration(peer.connection, agent, answer);
             }
@@ -50,6 +61,10 @@
             (Request::InstanceChanged(agent, session, instance, runs_lost), Role::Agent) => {
                 self.instance_changed(agent, session, instance, runs_lost, answer);
             }
+            (Request::Evacuation(change), Role::Operator) => {
+                self.change_evacuations(change, answer);
+            }
+            (Request::Evacuations, Role::Operator) => self.read(ReadWaiter::Evacuations(answer)),
             // The service handles consensus messages itself, and peers of other roles may not send
             // the remaining requests.
             (_, _) => reply(answer, Reply::NotLeader),
@@ -205,7 +220,14 @@
             runs = inventory.runs.len(),
             unwanted = adoption.stops.len(),
         );
-        self.record_ends(&adoption.ends, answer, Reply::Adopted(adoption.stops));
+        let adopted = Reply::Adopted {
+            stops: adoption.stops,
+            // The answer isn't a confirmed read, and only the lease excludes another leader.
+            evacuations: self
+                .has_leader_lease()
+                .then(|| self.store.evacuations().clone()),
+        };
+        self.record_ends(&adoption.ends, answer, adopted);
         self.propose_instance(agent, inventory.instance.as_ref());
     }
 
--- a/crates/hemlock_nodes/src/coordinator/waiters.rs
+++ b/crates/hemlock_nodes/src/coordinator/waiters.rs
@@ -3,13 +3,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::SessionId;
 use hemlock_jobs::prelude::{AgentId, JobId};
 use tokio::sync::oneshot;
 
 use super::handle::{ConfigureAnswer, ReadAnswer};
 use super::watchers::Watcher;
-use crate::message::{CallerAnswer, Reply};
+use crate::message::{CallerAnswer, EvacuationChange, Reply, RunnerPing};
 
 /// Waits for the commit of a command.
 pub(super) enum CommandWaiter {
@@ -21,6 +20,8 @@
     Caller(oneshot::Sender<Reply>),
     /// An operator that sends a configuration.
     Operator(oneshot::Sender<ConfigureAnswer>),
+    /// An operator that changes the evacuated failure domains.
+    Evacuation(EvacuationChange, oneshot::Sender<Reply>),
     /// A runner that registers.
     Registration(AgentId, oneshot::Sender<Reply>),
     /// A runner that has reported several ends.
@@ -81,13 +82,15 @@
     QueueCount(String, oneshot::Sender<Reply>),
     /// A caller whose answer is known already.
     Known(CallerAnswer, oneshot::Sender<Reply>),
-    /// A gateway's long poll for the configuration and the agents.
+    /// A gateway's long poll for the configuration, the agents and the evacuations.
     Watch(Watcher),
+    /// An operator that reads the evacuated failure domains.
+    Evacuations(oneshot::Sender<Reply>),
     /// An operator that reads the configuration.
     Configuration(oneshot::Sender<ReadAnswer>),
     /// A peer that checks whether this keeper leads and, for a runner, whether its session is
     /// valid.
-    Ping(Option<(AgentId, SessionId)>, oneshot::Sender<Reply>),
+    Ping(Option<RunnerPing>, oneshot::Sender<Reply>),
 }
 
 /// Answers a peer. An answer to a closed connection is dropped.
--- a/crates/hemlock_nodes/src/coordinator/watchers.rs
+++ b/crates/hemlock_nodes/src/coordinator/watchers.rs
@@ -1,4 +1,4 @@
-//! Long polls of gateways for a newer configuration or other agents.
+//! Long polls of gateways for a newer configuration, other agents or newer evacuations.
 
 use hemlock_types::time::{DurationMs, Instant};
 use tokio::sync::oneshot;
@@ -11,15 +11,24 @@
 
 /// The long poll of one gateway.
 pub(super) struct Watcher {
-    /// Version of the gateway's configuration.
-    pub(super) configuration: u64,
-    /// Version of the gateway's set of agents.
-    pub(super) agents: u64,
+    /// What the gateway has.
+    pub(super) held: WatchedVersions,
     /// Receives the answer.
     pub(super) answer: oneshot::Sender<Reply>,
     due: Instant,
 }
 
+/// Versions that a long poll waits to change.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WatchedVersions {
+    /// Version of the configuration.
+    pub(super) configuration: u64,
+    /// Version of the set of agents.
+    pub(super) agents: u64,
+    /// Version of the evacuations.
+    pub(super) evacuations: u64,
+}
+
 /// All pending long polls.
 #[derive(Default)]
 pub(super) struct Watchers {
@@ -30,27 +39,24 @@
     pub(super) fn add(
         &mut self,
         now: Instant,
-        configuration: u64,
-        agents: u64,
+        held: WatchedVersions,
         answer: oneshot::Sender<Reply>,
     ) {
         self.waiting.push(Watcher {
-            configuration,
-            agents,
+            held,
             answer,
             due: now + WATCH_TIMEOUT,
         });
     }
 
     /// Removes and returns the long polls with a change or an elapsed timeout.
-    pub(super) fn take_due(
-        &mut self,
-        now: Instant,
-        configuration: u64,
-        agents: u64,
-    ) -> Vec<Watcher> {
+    pub(super) fn take_due(&mut self, now: Instant, current: WatchedVersions) -> Vec<Watcher> {
         let is_due = |watcher: &mut Watcher| {
-            watcher.configuration < configuration || watcher.agents != agents || now >= watcher.due
+            let held = watcher.held;
+            held.configuration < current.configuration
+                || held.agents != current.agents
+                || held.evacuations < current.evacuations
+                || now >= watcher.due
         };
         self.waiting.extract_if(.., is_due).collect()
     }
--- /dev/null
+++ b/crates/hemlock_nodes/src/evacuations.rs
@@ -0,0 +1,14 @@
+//! The log line and the gauge of the evacuated failure domains, the same in every process.
+
+use hemlock_jobs::prelude::Evacuations;
+use tracing::info;
+
+/// Logs the evacuated failure domains after a change, and sets their gauge.
+pub(crate) fn log_evacuations(evacuations: &Evacuations) {
+    info!(
+        event = "evacuations",
+        version = evacuations.version(),
+        domains = ?evacuations.domains(),
+    );
+    metrics::gauge!("hemlock_evacuated_domains").set(evacuations.domains().len() as f64);
+}
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -97,6 +97,17 @@
         self.dispatcher.configure(configuration);
     }
 
+    /// Takes over the evacuated failure domains, in which nothing is placed from now on, if their
+    /// version is higher than that of the known ones. Returns whether it is.
+    pub fn set_evacuations(&mut self, evacuations: &Evacuations) -> bool {
+        self.dispatcher.set_evacuations(evacuations)
+    }
+
+    /// Version of the known evacuations.
+    pub fn evacuations_version(&self) -> u64 {
+        self.dispatcher.evacuations().version()
+    }
+
     /// Number of jobs whose callers wait for an answer.
     pub fn open_jobs(&self) -> usize {
         self.waiters.len()
--- a/crates/hemlock_nodes/src/gateway/leader.rs
+++ b/crates/hemlock_nodes/src/gateway/leader.rs
@@ -2,13 +2,14 @@
 
 use std::rc::Rc;
 
-use hemlock_jobs::prelude::Configuration;
+use hemlock_jobs::prelude::{Configuration, Evacuations};
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
 use tokio::time::Instant as RuntimeInstant;
 use tracing::info;
 
 use super::Gateway;
+use crate::evacuations::log_evacuations;
 use crate::message::{CallerAction, CallerAnswer, CallerRequest, Rejection, Reply, Request};
 
 /// Time after which a missing answer to a watch marks the connection as dead. The leader answers
@@ -38,7 +39,7 @@
         }
     }
 
-    /// Follows the leader's configuration and agents. Returns the cause when an answer is missing
+    /// Follows the leader's configuration, agents and evacuations. Returns the cause when an answer is missing
     /// or the peer doesn't lead.
     async fn watch(self: &Rc<Self>, link: &Link) -> &'static str {
         loop {
@@ -50,13 +51,19 @@
             let request = Request::Watch {
                 configuration: held.unwrap_or(0),
                 agents: self.runners.version(),
+                evacuations: self.engine.borrow().evacuations_version(),
             };
             let answer = link.call::<_, Reply>(&request);
             match tokio::time::timeout(WATCH_TIMEOUT.as_std(), answer).await {
                 Ok(Ok(Reply::Watched {
                     configuration,
                     agents,
+                    evacuations,
                 })) => {
+                    // Without the evacuations, nothing may be placed by the other two.
+                    if let Some(evacuations) = evacuations {
+                        self.set_evacuations(&evacuations);
+                    }
                     if let Some(configuration) = configuration {
                         self.configure(*configuration);
                     }
@@ -72,6 +79,15 @@
         }
     }
 
+    /// Places nothing more in the evacuated failure domains.
+    fn set_evacuations(self: &Rc<Self>, evacuations: &Evacuations) {
+        let newer = self.engine.borrow_mut().set_evacuations(evacuations);
+        if newer {
+            log_evacuations(evacuations);
+            self.run_engine();
+        }
+    }
+
     /// Puts a configuration in force on this gateway, if it is newer than the current one.
     fn configure(self: &Rc<Self>, configuration: Configuration) {
         let held = self
--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -17,11 +17,13 @@
 pub mod connect_timeouts;
 mod connector;
 pub mod coordinator;
+mod evacuations;
 pub mod gateway;
 pub mod hedge;
 pub mod listing_backoff;
 pub mod load_reports;
 pub mod message;
+pub mod operator;
 pub mod runner;
 pub mod subset;
 pub mod task_set;
@@ -35,7 +37,11 @@
     };
     pub use crate::gateway::engine::EngineSettings;
     pub use crate::gateway::{Gateway, GatewaySettings};
-    pub use crate::message::{CallerAction, CallerAnswer, CallerRequest, JobState, Rejection};
+    pub use crate::message::{
+        CallerAction, CallerAnswer, CallerRequest, EvacuationAnswer, EvacuationChange, JobState,
+        Rejection,
+    };
+    pub use crate::operator::{OperatorClient, OperatorError};
     pub use crate::runner::{Runner, RunnerError, RunnerSettings};
     pub use hemlock_quorum::prelude::KeeperId;
 }
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -101,6 +101,67 @@
     NoLeader,
 }
 
+/// A change of the evacuated failure domains that an operator requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationChange {
+    /// Nothing more is to be started in the failure domain.
+    Begin(String),
+    /// The failure domain may be used again.
+    End(String),
+}
+
+impl EvacuationChange {
+    /// Name of the failure domain.
+    pub fn domain(&self) -> &str {
+        match self {
+            Self::Begin(domain) | Self::End(domain) => domain,
+        }
+    }
+
+    /// The change's label in log lines.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Begin(_) => "begin",
+            Self::End(_) => "end",
+        }
+    }
+}
+
+/// The answer to a change of the evacuated failure domains.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationAnswer {
+    /// The change is in force, now or from before. Holds the version of the set.
+    Done(u64),
+    /// The deployment has no such failure domain. Nothing has changed.
+    UnknownDomain,
+    /// The request had no effect because this keeper doesn't lead. Holds the leader, if known.
+    NotLeader(Option<KeeperId>),
+    /// The change may or may not come into force.
+    Undecided,
+}
+
+/// The answer to a read of the evacuated failure domains.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationsAnswer {
+    /// The evacuated failure domains.
+    Current(Evacuations),
+    /// This keeper doesn't lead. Holds the leader, if known.
+    NotLeader(Option<KeeperId>),
+}
+
+/// A runner's periodic message to the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerPing {
+    /// The runner.
+    pub agent: AgentId,
+    /// Its session.
+    pub session: SessionId,
+    /// Percentage of the instance's capacity that gets no new starts.
+    pub withheld_percent: u32,
+    /// Version of the evacuations that the runner has.
+    pub evacuations: u64,
+}
+
 /// Requests to a coordinator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Request {
@@ -115,19 +176,25 @@
     /// Lists the instance's runs at the start of a session.
     Adopt(AgentId, SessionId, Inventory),
     /// Asks the leader to confirm its leadership and, for a runner, the session.
-    Ping(Option<(AgentId, SessionId)>),
-    /// Long poll for the configuration and the agents: answered when one of them differs from the
-    /// given version, or after a timeout.
+    Ping(Option<RunnerPing>),
+    /// Long poll for the configuration, the agents and the evacuations: answered when one of them
+    /// differs from the given version, or after a timeout.
     Watch {
         /// Version of the sender's configuration; zero if it has none.
         configuration: u64,
         /// Version of the sender's set of agents.
         agents: u64,
+        /// Version of the sender's evacuations.
+        evacuations: u64,
     },
     /// Reports ended runs and refused starts.
     Report(AgentId, SessionId, Report),
     /// Reports that the instance changed, and whether its previous runs are lost.
     InstanceChanged(AgentId, SessionId, Option<InstanceReport>, bool),
+    /// An operator changes the evacuated failure domains.
+    Evacuation(EvacuationChange),
+    /// An operator reads the evacuated failure domains.
+    Evacuations,
 }
 
 /// Ended runs and refused starts.
@@ -157,12 +224,14 @@
     NotLeader,
     /// The answer to a caller.
     Call(CallerAnswer),
-    /// The current configuration and agents, as far as they changed.
+    /// The current configuration, agents and evacuations, as far as they changed.
     Watched {
         /// The configuration, if it is newer than the sender's.
         configuration: Option<Box<Configuration>>,
         /// The version of the set of agents and the agents, if the sender's version differs.
         agents: Option<(u64, Vec<AgentId>)>,
+        /// The evacuated failure domains, if they are newer than the sender's.
+        evacuations: Option<Evacuations>,
     },
     /// The session has begun.
     Registered {
@@ -171,12 +240,26 @@
         /// The agent's instance, as reported by an earlier process of the agent.
         instance: Option<InstanceReport>,
     },
-    /// The runs are adopted and the reported ends are recorded; the runner must stop these runs.
-    Adopted(Vec<StopOrder>),
+    /// The runs are adopted and the reported ends are recorded.
+    Adopted {
+        /// Runs that the runner must stop.
+        stops: Vec<StopOrder>,
+        /// The evacuated failure domains, if the sender is sure that it leads.
+        evacuations: Option<Evacuations>,
+    },
+    /// This coordinator leads and, for a runner, the session is valid.
+    Confirmed {
+        /// The evacuated failure domains, if they are newer than the sender's.
+        evacuations: Option<Evacuations>,
+    },
     /// The session is unknown or has expired.
     VoidSession,
     /// The request may or may not have taken effect.
     Undecided,
+    /// The answer to an operator's change of the evacuations.
+    Evacuation(EvacuationAnswer),
+    /// The answer to an operator's read of the evacuations.
+    Evacuations(EvacuationsAnswer),
 }
 
 /// Requests to a runner, from the leading coordinator or from a gateway.
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -75,7 +75,7 @@
         Some((link.link.clone(), link.session?))
     }
 
-    fn in_session(&self) -> Vec<Incarnation> {
+    pub(super) fn in_session(&self) -> Vec<Incarnation> {
         let links = self.links.borrow();
         let attached = links.iter().filter(|(_, link)| link.session.is_some());
         attached.map(|(gateway, _)| *gateway).collect()
@@ -155,7 +155,7 @@
         LoadSummary::new(&report, capacity, runs.used().cpu_milli, runs.running())
     }
 
-    fn send_update(
+    pub(super) fn send_update(
         self: &Rc<Self>,
         gateway: Incarnation,
         report: Report,
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -11,7 +11,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 
-use hemlock_jobs::prelude::AgentId;
+use hemlock_jobs::prelude::{AgentId, Evacuations};
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -20,6 +20,7 @@
 use tracing::info;
 
 use crate::connector::{Connector, Seeds};
+use crate::evacuations::log_evacuations;
 use crate::hedge::HedgedDriver;
 use crate::message::{Reply, Report, Request};
 use crate::task_set::TaskSet;
@@ -148,10 +149,14 @@
     pub fn handle_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let name = heartbeat.instance.id.name.clone();
         let draining = heartbeat.instance.draining;
+        let is_cold = heartbeat.cold_left_ms > 0;
         let change = self
             .runs
             .borrow_mut()
             .heartbeat_received(self.clock.now(), heartbeat);
+        if is_cold {
+            self.load_changed.notify_one();
+        }
         if change != InstanceChange::None {
             info!(event = "instance-beat", instance = name, draining, change = ?change);
             self.driver.set_target(Some(name));
@@ -168,6 +173,20 @@
         self.listing_due.notify_one();
     }
 
+    /// Refuses starts in the evacuated failure domains from now on, and tells the gateways at once
+    /// what they may order. Returns whether the evacuations are newer than the known ones.
+    fn note_evacuations(self: &Rc<Self>, evacuations: &Evacuations) -> bool {
+        let newer = self.runs.borrow_mut().note_evacuations(evacuations);
+        if newer {
+            log_evacuations(evacuations);
+            self.report_outcomes();
+            for gateway in self.gateways.in_session() {
+                self.send_update(gateway, Report::default(), None);
+            }
+        }
+        newer
+    }
+
     /// Reports a change of the instance to the leader and all gateways.
     fn report_instance_change(self: &Rc<Self>, change: InstanceChange) {
         self.report_outcomes();
--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -26,7 +26,7 @@
         let owner = match peer.role {
             Role::Keeper => Owner::Leader,
             Role::Entry => Owner::Gateway(peer.incarnation),
-            Role::Agent => return Err(ServiceError::Forbidden),
+            Role::Agent | Role::Operator => return Err(ServiceError::Forbidden),
         };
         let request: RunnerRequest = decode(frame)?;
         let runner = self.runner.upgrade().ok_or(ServiceError::Closing)?;
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -9,7 +9,7 @@
 use tracing::info;
 
 use super::Runner;
-use crate::message::{Reply, Request};
+use crate::message::{Reply, Request, RunnerPing};
 
 /// Time between two pings of the leader, each of which extends the runner's authority.
 const PING_INTERVAL: DurationMs = DurationMs::new(300);
@@ -61,9 +61,12 @@
         let adopt = Request::Adopt(self.agent, session, inventory.clone());
         let answer = link.call::<_, Reply>(&adopt);
         let answer = tokio::time::timeout(REGISTER_TIMEOUT.as_std(), answer).await;
-        let Ok(Ok(Reply::Adopted(stops))) = answer else {
+        let Ok(Ok(Reply::Adopted { stops, evacuations })) = answer else {
             return None;
         };
+        if let Some(evacuations) = evacuations {
+            self.note_evacuations(&evacuations);
+        }
         info!(
             event = "session",
             session = session.0,
@@ -109,19 +112,39 @@
         }
     }
 
+    fn ping_state(&self, now: Instant, session: SessionId) -> RunnerPing {
+        let runs = self.runs.borrow();
+        RunnerPing {
+            agent: self.agent,
+            session,
+            withheld_percent: runs.withheld_percent(now),
+            evacuations: runs.evacuations().version(),
+        }
+    }
+
     /// Pings the leader until an answer is missing or the session is void. Returns the cause.
-    async fn ping(&self, link: &Link, session: SessionId) -> &'static str {
+    ///
+    /// The first ping is sent at once, because only a confirmed answer is sure to carry the
+    /// evacuations. After a change of these, another one tells the leader what it may order.
+    async fn ping(self: &Rc<Self>, link: &Link, session: SessionId) -> &'static str {
+        let mut interval = DurationMs::new(0);
         loop {
-            tokio::time::sleep(PING_INTERVAL.as_std()).await;
+            tokio::time::sleep(interval.as_std()).await;
             let sent_at = self.clock.now();
-            let ping = Request::Ping(Some((self.agent, session)));
+            let ping = Request::Ping(Some(self.ping_state(sent_at, session)));
             let answer = link.call::<_, Reply>(&ping);
             match tokio::time::timeout(PING_TIMEOUT.as_std(), answer).await {
-                Ok(Ok(Reply::Done)) => {
-                    let mut runs = self.runs.borrow_mut();
-                    if !runs.owner_heard(Owner::Leader, session, sent_at) {
+                Ok(Ok(Reply::Confirmed { evacuations })) => {
+                    let leader = Owner::Leader;
+                    let holds = self.runs.borrow_mut().owner_heard(leader, session, sent_at);
+                    if !holds {
                         return "expired";
                     }
+                    let newer = evacuations.is_some_and(|newer| self.note_evacuations(&newer));
+                    interval = match newer {
+                        true => DurationMs::new(0),
+                        false => PING_INTERVAL,
+                    };
                 }
                 Ok(Ok(Reply::VoidSession)) => return "void",
                 Ok(Ok(_)) => return "not-leading",
--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -59,6 +59,7 @@
                 Reply::Watched {
                     configuration: None,
                     agents: newer.then(|| (self.version.get(), known)),
+                    evacuations: None,
                 }
             }
             _ => Reply::NotLeader,
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -46,14 +46,14 @@
     format!("rack-{}", runner * deployment.racks / deployment.runners)
 }
 
-fn instance(deployment: &Deployment, runner: usize) -> InstanceReport {
+pub(super) fn instance(deployment: &Deployment, runner: usize) -> InstanceReport {
     InstanceReport {
         id: InstanceId {
             name: format!("i-{runner}"),
             born_ms: 1,
         },
         service: "s".to_owned(),
-        failure_domain: "a".to_owned(),
+        failure_domain: super::domain_of(runner).to_owned(),
         capacity: capacity(deployment, runner),
         labels: vec![rack_of(deployment, runner)],
         draining: false,
@@ -85,6 +85,8 @@
                 next_report_us: 0,
                 reports: LoadReports::default(),
                 messages: 0,
+                heartbeat_count: 1,
+                cold_until_us: 0,
             });
             self.at(self.now_us, Event::ListingAnswered(runner, 0));
             self.at(self.now_us + 50_000, Event::Tick(runner));
@@ -194,7 +196,8 @@
         } else {
             1.0
         };
-        let factor = slowness[runner % slowness.len()] * remote_factor;
+        let factor = slowness[runner % slowness.len()] * remote_factor * self.cold_factor(runner);
+        self.note_start(runner);
         let ends_us = self.now_us + (nominal_ms as f64 * 1_000.0 * factor) as u64;
         let needs = self.runners[runner]
             .runs
@@ -263,7 +266,7 @@
         self.at(self.now_us + 50_000, Event::Tick(runner));
     }
 
-    fn send_outcomes(&mut self, runner: usize) {
+    pub(super) fn send_outcomes(&mut self, runner: usize) {
         let outcomes = self.runners[runner].runs.take_outbox();
         if outcomes.is_empty() {
             return;
@@ -285,7 +288,7 @@
         self.load_changed(runner);
     }
 
-    fn send_update(&mut self, runner: usize, gateway: usize, report: Report) {
+    pub(super) fn send_update(&mut self, runner: usize, gateway: usize, report: Report) {
         let Some(session) = self.gateways[gateway].sessions.get(&runner).copied() else {
             return;
         };
--- a/crates/hemlock_nodes/tests/replay/load.rs
+++ b/crates/hemlock_nodes/tests/replay/load.rs
@@ -4,13 +4,13 @@
 use hemlock_jobs::prelude::*;
 use rand::RngExt;
 
-use super::{Event, Replay};
+use super::{Evacuation, Event, Replay};
 
 /// How long callers wait for an answer.
 pub(crate) const CALLER_TIMEOUT_US: u64 = 8_000_000;
 /// Time after the last submission for which the replay goes on.
 const DRAIN_US: u64 = 3_000_000;
-const START_US: u64 = 1_000_000;
+pub(super) const START_US: u64 = 1_000_000;
 /// Ratio of the duration of long tasks to that of others.
 const TAIL_FACTOR: f64 = 7.0;
 
@@ -52,6 +52,7 @@
     pub(crate) kinds: Vec<JobKind>,
     pub(crate) bursts: Vec<Burst>,
     pub(crate) hot_key: Option<HotKey>,
+    pub(crate) evacuations: Vec<Evacuation>,
     /// Share of the tasks that take [`TAIL_FACTOR`] times as long as others.
     pub(crate) tail_share: f64,
     pub(crate) length_ms: u64,
@@ -102,6 +103,7 @@
             ],
             bursts: Vec::new(),
             hot_key: None,
+            evacuations: Vec::new(),
             tail_share: 0.0,
             length_ms,
         }
--- a/crates/hemlock_nodes/tests/replay/mod.rs
+++ b/crates/hemlock_nodes/tests/replay/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Messages take their link's delay and wait for the processor of the process that receives them.
 
+mod evacuation;
 mod fleet;
 mod load;
 mod result;
@@ -22,8 +23,9 @@
 use rand_pcg::Pcg32;
 use tokio::sync::oneshot;
 
+pub(crate) use evacuation::{Evacuation, domain_of};
 pub(crate) use load::{Burst, HotKey, Load};
-pub(crate) use result::ReplayResult;
+pub(crate) use result::{ReplayResult, Start};
 
 /// Sizes, delays and costs of the simulated deployment.
 #[derive(Clone, Debug)]
@@ -64,6 +66,13 @@
     Step(usize),
     Ping(usize),
     Tick(usize),
+    /// The leader commits a change of the evacuations.
+    EvacuationChanged(Command),
+    /// The evacuations reach a process.
+    EvacuationsAtGateway(usize, Evacuations),
+    EvacuationsAtRunner(usize, Evacuations),
+    /// The instance sends a heartbeat.
+    Heartbeat(usize),
 }
 
 enum GatewayMessage {
@@ -91,6 +100,9 @@
     next_report_us: u64,
     reports: LoadReports,
     messages: u64,
+    heartbeat_count: u64,
+    /// End of the time in which the instance is slow.
+    cold_until_us: u64,
 }
 
 /// The simulated processes and the messages between them.
@@ -108,6 +120,8 @@
     durations_ms: BTreeMap<JobId, Vec<u64>>,
     /// The racks that jobs prefer.
     preferred_racks: BTreeMap<JobId, String>,
+    /// The leader's record of the evacuations.
+    evacuations: JobStore,
     result: ReplayResult,
 }
 
@@ -124,12 +138,14 @@
             runners: Vec::new(),
             durations_ms: BTreeMap::new(),
             preferred_racks: BTreeMap::new(),
+            evacuations: JobStore::default(),
             result: ReplayResult::new(&load),
             deployment,
             load,
         };
         replay.found();
         replay.schedule_arrivals();
+        replay.schedule_evacuations();
         while let Some(Reverse((at_us, key))) = replay.events.pop() {
             replay.now_us = at_us;
             if let Some(event) = replay.payloads.remove(&key) {
@@ -183,6 +199,15 @@
             Event::Step(gateway) => self.step_gateway(gateway),
             Event::Ping(gateway) => self.ping_runners(gateway),
             Event::Tick(runner) => self.tick_runner(runner),
+            Event::EvacuationChanged(change) => self.change_evacuations(change),
+            Event::EvacuationsAtGateway(gateway, evacuations) => {
+                self.gateways[gateway].engine.set_evacuations(&evacuations);
+                self.step_gateway(gateway);
+            }
+            Event::EvacuationsAtRunner(runner, evacuations) => {
+                self.note_evacuations(runner, &evacuations);
+            }
+            Event::Heartbeat(runner) => self.send_heartbeat(runner),
         }
     }
 
--- a/crates/hemlock_nodes/tests/replay/result.rs
+++ b/crates/hemlock_nodes/tests/replay/result.rs
@@ -34,6 +34,19 @@
     pub(crate) used_share: f64,
     /// Times from submission to the start of each task, in microseconds.
     pub(crate) start_waits_us: Vec<u64>,
+    pub(crate) starts: Vec<Start>,
+}
+
+/// A start of a task.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Start {
+    /// Time since the start of the load, in microseconds.
+    pub(crate) at_us: u64,
+    pub(crate) runner: usize,
+    /// CPU that all runs at the instance use, as a share of its capacity.
+    pub(crate) used_share: f64,
+    /// Share of the instance's cold phase that is left; zero if it is warm.
+    pub(crate) cold_share: f64,
 }
 
 impl ReplayResult {
--- a/crates/hemlock_nodes/tests/replay_load.rs
+++ b/crates/hemlock_nodes/tests/replay_load.rs
@@ -3,6 +3,7 @@
 //! Each test replays the load pattern that a decision answers. Its bound is the share that callers
 //! need, not the figure of the present code.
 
+#[allow(dead_code, unused_imports)]
 mod replay;
 
 use replay::{Burst, Deployment, HotKey, Load, Replay, ReplayResult};
--- a/crates/hemlock_types/src/role.rs
+++ b/crates/hemlock_types/src/role.rs
@@ -15,4 +15,7 @@
     /// Runs alongside one endpoint instance and starts work on it.
     #[display("agent")]
     Agent,
+    /// Sends an operator's requests to the process that leads, and serves none.
+    #[display("operator")]
+    Operator,
 }
--- a/crates/hemlock_wire/src/identity.rs
+++ b/crates/hemlock_wire/src/identity.rs
@@ -65,6 +65,7 @@
         Role::Keeper => 1,
         Role::Entry => 2,
         Role::Agent => 3,
+        Role::Operator => 4,
     }
 }
 
@@ -74,6 +75,7 @@
         1 => Some(Role::Keeper),
         2 => Some(Role::Entry),
         3 => Some(Role::Agent),
+        4 => Some(Role::Operator),
         _ => None,
     }
 }
