Add the operator's command for evacuations

hemlock evacuations list, begin and end speak to any coordinator at its internal address with the cluster's key and follow it to the leader. An unknown failure domain is refused with exit code 3 like the platform's 404, a missing leader is 4 and a lost answer 5.

--- a/bins/hemlock/src/commands/mod.rs
+++ b/bins/hemlock/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod contract;
 mod demo;
 mod endpoints;
+mod evacuations;
 mod keepers;
 mod status;
 mod stop;
@@ -15,7 +16,8 @@
 use crate::options::{OPERATOR_HELP, OperatorOptions};
 use crate::output::Format;
 
-const COMMANDS: &str = "demo, check, contract, stop, endpoints, status, keepers, submit";
+const COMMANDS: &str =
+    "demo, check, contract, stop, endpoints, evacuations, status, keepers, submit";
 
 /// Runs a command with the remaining arguments.
 pub(crate) fn run(command: &str, parser: lexopt::Parser) -> Result<Exit, CliError> {
@@ -25,6 +27,7 @@
         "contract" => contract::run(parser),
         "stop" => stop::run(parser),
         "endpoints" => endpoints::run(parser),
+        "evacuations" => evacuations::run(parser),
         "status" => status::run(parser),
         "keepers" => keepers::run(parser),
         "submit" => submit::run(parser),
--- a/bins/hemlock/src/error.rs
+++ b/bins/hemlock/src/error.rs
@@ -74,6 +74,11 @@
             display("the answer is not valid JSON: {source}")
             source(source)
         }
+        /// The async runtime can't be created.
+        Runtime(source: io::Error) {
+            display("cannot create the async runtime: {source}")
+            source(source)
+        }
         /// The demonstration failed to run.
         Demo(source: DemoError) {
             from()
@@ -98,7 +103,7 @@
             Self::Refused(..) => Exit::Refused,
             Self::Unreachable(_) => Exit::Unreachable,
             Self::Undecided(_) | Self::Unknown(_) | Self::BadAnswer(_) => Exit::Unknown,
-            Self::Demo(_) => Exit::Failed,
+            Self::Runtime(_) | Self::Demo(_) => Exit::Failed,
         }
     }
 }
--- a/bins/hemlock/src/main.rs
+++ b/bins/hemlock/src/main.rs
@@ -24,6 +24,7 @@
   contract    apply, get, list or diff contracts
   stop        announce, list or lift planned stops
   endpoints   list the endpoints that are registered with the keepers
+  evacuations list, begin or end evacuations of failure domains
   status      show the state of the cluster
   keepers     list, add, replace or remove keepers
   submit      send a request or a job to an entry
--- a/bins/hemlock/src/options.rs
+++ b/bins/hemlock/src/options.rs
@@ -64,15 +64,23 @@
 
 /// Reads the key from the file, or from the environment if no file is given.
 pub(crate) fn read_key(file: Option<&PathBuf>) -> Result<String, CliError> {
-    let key = match (file, std::env::var(KEY_VARIABLE)) {
+    let advice = "give the file that holds the key, or set HEMLOCK_KEY";
+    read_secret(file, KEY_VARIABLE, "--key-file", advice)
+}
+
+/// Reads a secret from the file, or from the environment variable if no file is given.
+pub(crate) fn read_secret(
+    file: Option<&PathBuf>,
+    variable: &str,
+    option: &'static str,
+    advice: &'static str,
+) -> Result<String, CliError> {
+    let key = match (file, std::env::var(variable)) {
         (Some(path), _) => {
             std::fs::read_to_string(path).map_err(|error| CliError::Read(path.clone(), error))?
         }
         (None, Ok(key)) => key,
-        (None, Err(_)) => {
-            let advice = "give the file that holds the key, or set HEMLOCK_KEY";
-            return Err(CliError::Missing("--key-file", advice));
-        }
+        (None, Err(_)) => return Err(CliError::Missing(option, advice)),
     };
     let key = key.trim_end_matches(['\r', '\n']).to_owned();
     let printable = !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
--- a/bins/hemlock/tests/command_line.rs
+++ b/bins/hemlock/tests/command_line.rs
@@ -107,6 +107,7 @@
         "contract",
         "stop",
         "endpoints",
+        "evacuations",
         "status",
         "keepers",
         "submit",
--- a/crates/hemlock_nodes/src/evacuations.rs
+++ b/crates/hemlock_nodes/src/evacuations.rs
@@ -5,10 +5,11 @@
 
 /// Logs the evacuated failure domains after a change, and sets their gauge.
 pub(crate) fn log_evacuations(evacuations: &Evacuations) {
+    let domains: Vec<&str> = evacuations.domains().iter().map(String::as_str).collect();
     info!(
         event = "evacuations",
         version = evacuations.version(),
-        domains = ?evacuations.domains(),
+        domains = domains.join(","),
     );
     metrics::gauge!("hemlock_evacuated_domains").set(evacuations.domains().len() as f64);
 }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -148,6 +148,7 @@
     /// Handles a heartbeat of the instance.
     pub fn handle_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let name = heartbeat.instance.id.name.clone();
+        let domain = heartbeat.instance.failure_domain.clone();
         let draining = heartbeat.instance.draining;
         let is_cold = heartbeat.cold_left_ms > 0;
         let change = self
@@ -158,7 +159,7 @@
             self.load_changed.notify_one();
         }
         if change != InstanceChange::None {
-            info!(event = "instance-beat", instance = name, draining, change = ?change);
+            info!(event = "instance-beat", instance = name, domain, draining, change = ?change);
             self.driver.set_target(Some(name));
             self.listing_due.notify_one();
         }
