--- a/crates/hemlock_runs/tests/simulation/mod.rs
+++ b/crates/hemlock_runs/tests/simulation/mod.rs
@@ -1,5 +1,6 @@
 //! Simulation of gateways, runners and instances, with late and lost messages.
 
+mod evacuations;
 mod faults;
 mod gateways;
 mod links;
@@ -95,6 +96,8 @@
     unresponsive_until_ms: u64,
     /// Calls that the runner has treated as unanswered, with the times at which they are executed.
     delayed_calls: Vec<(u64, DriverCall)>,
+    /// End of the time in which the instance is slow.
+    cold_until_ms: u64,
 }
 
 /// The simulated processes, their connections and the open jobs.
@@ -110,6 +113,8 @@
     open_jobs: BTreeMap<JobId, u64>,
     /// Jobs to submit again, with the times of the submissions.
     resubmissions: Vec<(u64, JobId)>,
+    /// The leader's record of the evacuations.
+    evacuations: Evacuations,
     /// Id of the next new job; `u64::MAX` if no more jobs are submitted.
     next_job: u64,
     last_unique_number: u64,
@@ -136,6 +141,7 @@
             links: BTreeMap::new(),
             open_jobs: BTreeMap::new(),
             resubmissions: Vec::new(),
+            evacuations: Evacuations::default(),
             next_job: 1,
             last_unique_number: 1,
             submitted: 0,
@@ -216,6 +222,7 @@
             heartbeat_count: 0,
             unresponsive_until_ms: 0,
             delayed_calls: Vec::new(),
+            cold_until_ms: 0,
         }
     }
 
@@ -223,6 +230,7 @@
     pub(crate) fn step(&mut self) {
         self.now_ms += STEP_MS;
         self.inject_faults();
+        self.step_evacuations();
         self.submit_due_jobs();
         for runner in 0..RUNNER_COUNT {
             self.step_instance(runner);
@@ -243,6 +251,7 @@
         for link in self.links.values_mut() {
             link.silent = false;
         }
+        self.end_evacuations();
         let no_more = u64::MAX;
         let next_job = std::mem::replace(&mut self.next_job, no_more);
         for _ in 0..8_000 {
@@ -285,7 +294,7 @@
             born_ms,
         },
         service: "s".to_owned(),
-        failure_domain: "a".to_owned(),
+        failure_domain: evacuations::domain_of(index),
         capacity: CAPACITY,
         labels: Vec::new(),
         draining: false,
--- a/crates/hemlock_runs/tests/simulation/runners.rs
+++ b/crates/hemlock_runs/tests/simulation/runners.rs
@@ -60,7 +60,7 @@
                 instance: instance(index, runner.model.born_ms),
                 clock_ms: runner.model.clock_ms,
                 sequence: runner.heartbeat_count,
-                cold_left_ms: 0,
+                cold_left_ms: runner.cold_until_ms.saturating_sub(now_ms),
             };
             let change = runner.runs.heartbeat_received(now, heartbeat);
             self.report_instance_change(index, change);
@@ -107,6 +107,13 @@
             let delayed = !unresponsive && self.chance(30);
             let executed_at_ms = self.now_ms + self.rng.random_range(100..6_000);
             let runner = &mut self.runners[index as usize];
+            if let DriverCall::Start(call) = &call {
+                assert!(
+                    !runner.runs.is_evacuated(),
+                    "task {} is started in an evacuated domain",
+                    call.task
+                );
+            }
             let follow_up = match call {
                 call if delayed => {
                     runner.delayed_calls.push((executed_at_ms, call.clone()));
