--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -34,7 +34,7 @@
     pub use crate::dispatcher::{AdmissionError, Dispatcher, JobStage, RejectionCause, Withdrawal};
     pub use crate::order::{
         EndAction, Inventory, LoadReport, Order, REPORTED_ENDS, RefusalReason, RunEnd, RunReport,
-        SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency,
+        SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency, WITHHOLDS_ALL,
     };
     pub use crate::settings::{CapacitySource, DispatchSettings, longest_lease};
     pub use crate::size_refusal::RelativeSize;
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -5,6 +5,7 @@
 mod owners;
 mod postponement;
 mod queue;
+mod start_limit;
 
 pub use owners::Claim;
 
@@ -22,6 +23,7 @@
 use crate::pace::Pace;
 use crate::shares::Shares;
 use crate::tracked_run::{Owner, Phase, QueuePosition, QueuedStart, TrackedRun};
+use start_limit::ColdPhase;
 
 /// Lower bound for a run's expected duration when its slowness is calculated, in milliseconds: the
 /// delay before an end is reported would make shorter runs look slow.
@@ -88,6 +90,9 @@
     /// Increases with each heartbeat since the instance was started, so that late ones are
     /// detected.
     pub sequence: u64,
+    /// Time for which the instance will still be slow, in milliseconds; zero if it isn't, or if it
+    /// doesn't report it.
+    pub cold_left_ms: u64,
 }
 
 /// Change of the instance that its owners must be told.
@@ -186,6 +191,9 @@
     owners: BTreeMap<Owner, OwnerState>,
     shares: Shares,
     instance: Option<InstanceReport>,
+    /// Failure domains in which nothing is started.
+    evacuations: Evacuations,
+    cold: ColdPhase,
     /// Highest sequence number of the instance's heartbeats.
     max_sequence: u64,
     /// Start time of the instance in Unix milliseconds, which tells a restarted instance from the
@@ -243,6 +251,8 @@
             owners: BTreeMap::new(),
             shares: Shares::default(),
             instance: None,
+            evacuations: Evacuations::default(),
+            cold: ColdPhase::default(),
             max_sequence: 0,
             instance_born_ms: None,
             pace: Pace::default(),
@@ -461,6 +471,7 @@
             suspended: !self.breaker.admits(),
             last_order: state.map_or(0, |state| state.last_order),
             next_ends_ms: self.next_ends_ms(now),
+            withheld_percent: self.withheld_percent(now),
         }
     }
 
@@ -537,6 +548,8 @@
         let changed = self.instance.as_ref() != Some(&heartbeat.instance);
         let draining = heartbeat.instance.draining;
         self.instance = Some(heartbeat.instance);
+        self.note_cold_left(now, heartbeat.cold_left_ms);
+        self.refuse_queue_if_evacuated();
         if draining {
             self.refuse_queue(RefusalReason::NoInstance);
         }
@@ -613,6 +626,7 @@
             self.lapse_all_runs(now);
             self.reachable = false;
             self.clock = None;
+            self.cold = ColdPhase::default();
         }
         restarted
     }
