Bound the arithmetic of withheld shares, and test a leader without a majority

A share or a capacity of a malformed message could overflow when a percentage of it is taken; the products are saturating now. A new test takes two of three coordinators away: the request that is repeated after the first loss changes nothing, and the last one neither distributes the evacuations nor acknowledges a change once its lease has run out.

--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -118,10 +118,11 @@
     /// The part of an amount of the instance's capacity that may be used for new starts.
     pub(crate) fn usable_share(&self, amount: u64) -> u64 {
         let withheld_percent = self.withheld_percent.min(WITHHOLDS_ALL);
-        amount * u64::from(WITHHOLDS_ALL - withheld_percent) / u64::from(WITHHOLDS_ALL)
+        amount.saturating_mul(u64::from(WITHHOLDS_ALL - withheld_percent))
+            / u64::from(WITHHOLDS_ALL)
     }
 
-    /// Whether a task may be placed at the instance although it can't be queued there.
+    /// Whether a task may be placed at the instance, as far as that depends on whether it is cold.
     ///
     /// A cold instance runs its tasks slowly, so a queue there would wait longer than expected. It
     /// gets only what fits at once, and a single task of any size.
--- a/crates/hemlock_jobs/src/spec.rs
+++ b/crates/hemlock_jobs/src/spec.rs
@@ -68,10 +68,11 @@
         /// Percentage that stands for the whole.
         const WHOLE: u64 = 100;
         let percent = u64::from(percent).min(WHOLE);
+        let part = |amount: u64| amount.saturating_mul(percent) / WHOLE;
         Self {
-            cpu_milli: self.cpu_milli * percent / WHOLE,
-            memory_mb: self.memory_mb * percent / WHOLE,
-            accelerators: self.accelerators * percent / WHOLE,
+            cpu_milli: part(self.cpu_milli),
+            memory_mb: part(self.memory_mb),
+            accelerators: part(self.accelerators),
         }
     }
 
--- a/crates/hemlock_nodes/src/gateway/leader.rs
+++ b/crates/hemlock_nodes/src/gateway/leader.rs
@@ -39,8 +39,8 @@
         }
     }
 
-    /// Follows the leader's configuration, agents and evacuations. Returns the cause when an answer is missing
-    /// or the peer doesn't lead.
+    /// Follows the leader's configuration, agents and evacuations. Returns the cause when an answer
+    /// is missing or the peer doesn't lead.
     async fn watch(self: &Rc<Self>, link: &Link) -> &'static str {
         loop {
             let held = self
--- a/crates/hemlock_nodes/tests/evacuations.rs
+++ b/crates/hemlock_nodes/tests/evacuations.rs
@@ -23,7 +23,7 @@
 /// Longest wait for any expected event.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A single coordinator on loopback.
+/// A coordinator on loopback.
 struct Site {
     address: SocketAddr,
     handle: CoordinatorHandle,
@@ -32,14 +32,24 @@
 
 impl Site {
     fn start(folder: &Path, address: SocketAddr, domains: &[&str]) -> Self {
+        Self::start_member(folder, address, &[address], domains)
+    }
+
+    /// Starts one of the coordinators at the given addresses.
+    fn start_member(
+        folder: &Path,
+        address: SocketAddr,
+        members: &[SocketAddr],
+        domains: &[&str],
+    ) -> Self {
         let coordinator = Coordinator::new(CoordinatorSettings {
             address,
             data_folder: PathBuf::from(folder),
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(KEY),
-            seeds: vec![address],
+            seeds: members.to_vec(),
             allow_bootstrap: true,
-            target_voters: 1,
+            target_voters: members.len(),
             dispatch: DispatchSettings::default(),
             retention_ms: 1_000,
             failure_domains: domains.iter().map(|domain| (*domain).to_owned()).collect(),
@@ -349,3 +359,61 @@
         assert_eq!(site.evacuated().await, ["a"]);
     });
 }
+
+#[test]
+fn a_coordinator_without_a_majority_distributes_and_acknowledges_nothing() {
+    run(async {
+        let folders = [0; 3].map(|_| folder());
+        let addresses =
+            [0; 3].map(|_| hemlock_standin::free_address().expect("loopback has ports"));
+        let mut sites: Vec<Site> = (0..3)
+            .map(|n| Site::start_member(folders[n].path(), addresses[n], &addresses, &["a", "b"]))
+            .collect();
+        let operator = || OperatorClient::new(CLUSTER, ClusterKey::new(KEY), addresses.to_vec());
+        let begin = |domain: &str| EvacuationChange::Begin(domain.to_owned());
+        assert_eq!(operator().change_evacuations(begin("a")).await, Ok(1));
+
+        // The request is repeated after the loss of its leader.
+        let leader = leader_of(&sites).await;
+        sites.remove(leader).stop().await;
+        assert_eq!(operator().change_evacuations(begin("a")).await, Ok(1));
+
+        // The last leader is alone. It may answer until its lease of 120 ms has run out.
+        let leader = leader_of(&sites).await;
+        let last = sites.remove(leader);
+        sites.remove(0).stop().await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let connection = last.connect(Role::Entry).await;
+        let request = watch(0);
+        let answer = connection.link.call::<_, Reply>(&request);
+        let answer = tokio::time::timeout(Duration::from_secs(2), answer).await;
+        let distributed = matches!(answer, Ok(Ok(Reply::Watched { .. })));
+        assert!(!distributed, "{answer:?}");
+        let changed = operator().change_evacuations(begin("b")).await;
+        assert!(
+            matches!(
+                changed,
+                Err(OperatorError::Undecided(_) | OperatorError::Unreachable(_))
+            ),
+            "{changed:?}"
+        );
+    });
+}
+
+/// Waits until one of the coordinators leads, and returns its position.
+async fn leader_of(sites: &[Site]) -> usize {
+    let searching = async {
+        loop {
+            for (position, site) in sites.iter().enumerate() {
+                let connection = site.connect(Role::Operator).await;
+                let reply = ask(&connection, Request::WhoLeads).await;
+                if matches!(reply, Reply::Leads { here: true, .. }) {
+                    return position;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let found = tokio::time::timeout(TIMEOUT, searching).await;
+    found.expect("one of them leads")
+}
