--- a/crates/hemlock_dispatch/src/dispatcher/scarcity.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/scarcity.rs
@@ -17,8 +17,7 @@
 /// Share of the capacity of the fast instances that is free below which they are scarce.
 const SCARCE_FREE_SHARE: f64 = 0.15;
 /// Ratio of the demand for a rack to the CPU that this dispatcher may count on there above which
-/// the rack is in demand. By calculation, even demand of the urgent class takes 0.10 to 0.14 of it,
-/// and a hot key 0.58 to 0.66.
+/// the rack is in demand: several times the demand of jobs that are spread evenly over the racks.
 const DEMAND_SHARE: f64 = 0.4;
 
 impl Dispatcher {
--- a/crates/hemlock_dispatch/src/pace.rs
+++ b/crates/hemlock_dispatch/src/pace.rs
@@ -9,9 +9,7 @@
 //! errors of the expected wait are larger than their effect.
 
 /// Standard deviation of the logarithms of the ratios above which the instances have uneven speeds.
-/// It is 0.065 for even speeds, 0.12 if every third instance is 1.3 times as fast as the others, and
-/// 0.34 if every fourth takes twice as long. A threshold of 0.1 lost up to 0.02 of the value in the
-/// replay with instances 1.3 times as slow: tasks queued at the fast ones instead of using idle ones.
+/// With smaller differences, tasks would queue at the faster instances while others are idle.
 const UNEVEN_DEVIATION: f64 = 0.2;
 /// Difference from the mean, as a logarithm, above which a single instance has an unusual speed,
 /// although the speeds are even in general. It is six standard deviations of the measurement, and
--- a/crates/hemlock_dispatch/src/size_refusal.rs
+++ b/crates/hemlock_dispatch/src/size_refusal.rs
@@ -18,8 +18,8 @@
 
 /// Weight of the newest job in the mean work. Bursts last for hundreds of jobs.
 const MEAN_WEIGHT: f64 = 0.05;
-/// Exponent with which the allowed wait falls with the relative work. With 1 and no bound, the
-/// largest tenth of a class was served only 0.58 times as often as the class.
+/// Exponent with which the allowed wait falls with the relative work. In proportion to the work, the
+/// largest jobs would be rejected too often.
 const SIZE_EXPONENT: f64 = 0.7;
 /// Bounds of the factor of the allowed wait.
 const FACTORS: (f64, f64) = (0.25, 2.0);
