Write log lines to the descriptor of standard output itself

Cause: since the change to batches the log writer wrote to a duplicate of the descriptor of standard output. Where a supervisor captures only descriptor 1, lines written to the duplicate are lost.

Change: batches go through std::io::stdout(), whose line buffer passes on whole lines with one call.

--- a/crates/hemlock_telemetry/src/error.rs
+++ b/crates/hemlock_telemetry/src/error.rs
@@ -10,10 +10,6 @@
         Filter(filter: String) {
             display("invalid log filter {filter:?}; examples: info, hemlock_entry=debug")
         }
-        /// Standard output is closed.
-        NoStandardOutput {
-            display("standard output is not open")
-        }
         /// A log subscriber is already installed in this process.
         LogsInstalled {
             display("a log subscriber is already installed in this process")
--- a/crates/hemlock_telemetry/src/setup.rs
+++ b/crates/hemlock_telemetry/src/setup.rs
@@ -1,7 +1,5 @@
 //! Installs the log subscriber and the metrics recorder, once per process.
 
-use std::fs::File;
-use std::os::fd::AsFd;
 use std::sync::OnceLock;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -111,7 +109,9 @@
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_BUFFERED_LINES)
-        .finish(BatchWriter::new(unbuffered_stdout()?));
+        // Whole lines pass the line buffer of standard output with one call for each batch. A duplicate
+        // of its descriptor would do too, but a supervisor may capture only the descriptor itself.
+        .finish(BatchWriter::new(std::io::stdout()));
     // Fails if a counter is already set; installing the subscriber below then fails as well.
     let _ = DROPPED_LINES.set(writer.error_counter());
     let installed = logs.with_writer(writer).try_init();
@@ -122,15 +122,6 @@
         .map_err(|_| TelemetryError::LogsInstalled)
 }
 
-/// Returns standard output without the line buffer of [`std::io::stdout`], which passes on each line
-/// with a call of its own.
-fn unbuffered_stdout() -> Result<File, TelemetryError> {
-    let descriptor = std::io::stdout().as_fd().try_clone_to_owned();
-    descriptor
-        .map(File::from)
-        .map_err(|_| TelemetryError::NoStandardOutput)
-}
-
 /// Returns the number of log lines dropped because the queue to standard output was full.
 pub fn dropped_log_lines() -> u64 {
     DROPPED_LINES
