--- /dev/null
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -0,0 +1,259 @@
+//! A gateway's jobs whose tasks crash the instances that start them, without a network.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_nodes::gateway::engine::{Engine, EngineSettings, Submission};
+use hemlock_nodes::message::{CallerAnswer, InstanceUpdate, Report, RunnerUpdate};
+use hemlock_runs::prelude::*;
+use hemlock_standin::InstanceModel;
+use hemlock_types::prelude::*;
+
+const OWNER: Owner = Owner::Gateway(Incarnation(1));
+const RUNNERS: u64 = 6;
+/// Crashes of a task's runs after which the task must not be started any more.
+const MAX_CRASHES: usize = 3;
+
+/// A runner, its instance, and the sequence of the instance's incarnations.
+struct Side {
+    runs: Runs,
+    model: InstanceModel,
+    session: SessionId,
+    born_ms: u64,
+}
+
+/// A gateway with runners whose instances end as soon as they start a task in `deadly`.
+struct Fleet {
+    now: Instant,
+    engine: Engine,
+    sides: BTreeMap<AgentId, Side>,
+    deadly: BTreeSet<TaskKey>,
+    crashes: BTreeMap<TaskKey, usize>,
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "searches".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/s/".to_owned(),
+        service: "listings".to_owned(),
+        timeout_ms: 1_500,
+        target_latency_ms: 60,
+        priority: 0,
+        max_attempts: 4,
+        slack_factor: 1.6,
+    }
+}
+
+fn instance(agent: AgentId, born_ms: u64) -> InstanceReport {
+    InstanceReport {
+        id: InstanceId {
+            name: format!("i-{agent}"),
+            born_ms,
+        },
+        service: "listings".to_owned(),
+        failure_domain: "a".to_owned(),
+        capacity: Resources {
+            cpu_milli: 64_000,
+            memory_mb: 262_144,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        draining: false,
+    }
+}
+
+fn heartbeat(agent: AgentId, born_ms: u64) -> Heartbeat {
+    Heartbeat {
+        instance: instance(agent, born_ms),
+        clock_ms: 0,
+        sequence: 1,
+        cold_left_ms: 0,
+    }
+}
+
+fn list(side: &mut Side, now: Instant) {
+    let call = ListCall {
+        fence: side.runs.fence(),
+        lease_until_ms: side.runs.renew_lease(now),
+        settled: side.runs.settled(),
+        wait_ms: 20,
+        timeout_ms: 120,
+    };
+    let listing = side.model.list(&call).expect("no later process calls");
+    side.runs.handle_listing(now, now, &listing);
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = Instant::from_ms(1_000);
+        let settings = EngineSettings {
+            lease_ms: 1_000,
+            remote_factor: 1.0,
+        };
+        let mut engine = Engine::new(now, settings);
+        engine.configure(&Configuration {
+            version: 1,
+            queues: vec![queue()],
+            services: vec![ServicePool {
+                name: "listings".to_owned(),
+            }],
+            document: Bytes::new(),
+        });
+        let mut sides = BTreeMap::new();
+        for agent in (0..RUNNERS).map(AgentId) {
+            let mut runs = Runs::new(RunsSettings::default(), 1, now);
+            let model = InstanceModel::new(1);
+            runs.heartbeat_received(now, heartbeat(agent, 1));
+            let (session, _) = engine.begin_session(now, agent);
+            let mut side = Side {
+                runs,
+                model,
+                session,
+                born_ms: 1,
+            };
+            list(&mut side, now);
+            let inventory = side.runs.attach(now, OWNER, session, &[]);
+            let load = side.runs.load_report(now, OWNER);
+            engine.attached(now, agent, session, &inventory, load);
+            sides.insert(agent, side);
+        }
+        Self {
+            now,
+            engine,
+            sides,
+            deadly: BTreeSet::new(),
+            crashes: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, id: u64, width: u16) -> tokio::sync::oneshot::Receiver<CallerAnswer> {
+        let mut step = StepSpec::new(width);
+        step.needs.cpu_milli = 6_200;
+        step.estimate_ms = 60;
+        let submission = Submission {
+            id: JobId(id),
+            queue: &queue(),
+            spec: JobSpec::new(Bytes::from_static(b"work"), vec![step]),
+            answer_deadline: self.now + DurationMs::new(60_000),
+        };
+        let submitted = self.engine.submit(self.now, submission);
+        submitted.expect("the job is admitted")
+    }
+
+    fn send_update(&mut self, agent: AgentId, instance_lost: bool) {
+        let Some(side) = self.sides.get_mut(&agent) else {
+            return;
+        };
+        let mut report = Report::default();
+        for (_, outcome) in side.runs.take_outbox() {
+            match outcome {
+                RunOutcome::Ended(ended, _) => report.ended.push(ended),
+                RunOutcome::Refused(refused) => report.refused.push(refused),
+            }
+        }
+        let update = RunnerUpdate {
+            agent,
+            session: side.session,
+            report,
+            load_report: side.runs.load_report(self.now, OWNER),
+            instance: instance_lost.then(|| InstanceUpdate {
+                instance: side.runs.instance().cloned(),
+                runs_lost: true,
+            }),
+        };
+        self.engine.handle_update(self.now, update);
+    }
+
+    /// Carries out the engine's orders, and returns whether there were any.
+    fn carry_out_orders(&mut self) -> bool {
+        let orders = self.engine.step(self.now);
+        let ordered = !orders.is_empty();
+        for order in orders {
+            let agent = order.agent;
+            let Some(side) = self.sides.get_mut(&agent) else {
+                continue;
+            };
+            let (calls, _) = side.runs.handle_order(self.now, OWNER, order);
+            let mut crashed = None;
+            for call in calls {
+                let DriverCall::Start(call) = call else {
+                    continue;
+                };
+                let result = side.model.start(&call);
+                side.runs.start_answered(self.now, &call, result);
+                crashed = crashed.or(self.deadly.contains(&call.task).then_some(call.task));
+            }
+            if let Some(task) = crashed {
+                *self.crashes.entry(task).or_default() += 1;
+                side.runs.instance_lost(self.now);
+                self.send_update(agent, true);
+            }
+        }
+        ordered
+    }
+
+    /// Starts each instance that is gone again, as a new incarnation without runs.
+    fn restart_instances(&mut self) {
+        let agents: Vec<AgentId> = self.sides.keys().copied().collect();
+        for agent in agents {
+            let Some(side) = self.sides.get_mut(&agent) else {
+                continue;
+            };
+            if side.runs.instance().is_none() {
+                side.born_ms += 1;
+                side.model = InstanceModel::new(side.born_ms);
+                let beat = heartbeat(agent, side.born_ms);
+                side.runs.heartbeat_received(self.now, beat);
+                list(side, self.now);
+                self.send_update(agent, true);
+            }
+        }
+    }
+
+    fn run_for_ms(&mut self, duration_ms: u64) {
+        for elapsed_ms in (0..duration_ms).step_by(10) {
+            self.now = self.now + DurationMs::new(10);
+            while self.carry_out_orders() {}
+            if elapsed_ms % 500 == 0 {
+                self.restart_instances();
+            }
+            let agents: Vec<AgentId> = self.sides.keys().copied().collect();
+            for agent in agents {
+                if let Some(side) = self.sides.get_mut(&agent) {
+                    if side.runs.instance().is_some() {
+                        side.model.advance_ms(10);
+                        list(side, self.now);
+                    }
+                    self.engine
+                        .confirm_session(self.now, agent, side.session, None);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a task that takes down one instance after the other, because runs that ended with
+/// their instance counted like runs whose lease had expired.
+#[test]
+fn task_that_crashes_its_instances_is_given_up() {
+    let mut fleet = Fleet::new();
+    let mut answer = fleet.submit(1, 1);
+    let task = TaskKey {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    fleet.deadly.insert(task);
+    fleet.run_for_ms(10_000);
+    let crashes = fleet.crashes[&task];
+    assert!(crashes <= MAX_CRASHES, "{crashes} instances crashed");
+    assert_eq!(
+        answer.try_recv().ok(),
+        Some(CallerAnswer::Finished(JobOutcome::Failed)),
+        "the caller learns that the job has failed"
+    );
+}
