Let the preferred runners join last in the test of followed subsets

Seen: a_gateway_follows_a_bounded_subset_and_leaves_displaced_runners timed out once in a run of all tests, waiting until new runners are followed; 12 further runs passed.

Cause: the ids of the stand-ins come from their ports, which differ in each run. If the three runners that the gateway prefers are among the first four of twelve, which has a chance of 4 in 220, none is displaced and the test waits for nothing.

Change: the first four are taken from those that the gateway doesn't prefer. The checks are the same.

--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -13,6 +13,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_nodes::message::{Reply, Request, RunnerReply, RunnerRequest};
 use hemlock_nodes::prelude::*;
+use hemlock_nodes::subset::choose_subset;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
 use tokio::task::LocalSet;
@@ -21,6 +22,8 @@
 /// Longest wait for any expected event.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+const GATEWAY_ID: u64 = 2;
+
 fn identity(role: Role, id: u64) -> Rc<Identity> {
     Rc::new(Identity {
         role,
@@ -144,7 +147,7 @@
 
 fn start_gateway(keeper_address: SocketAddr, max_runners: usize) {
     let gateway = Gateway::new(GatewaySettings {
-        identity: Identity::clone(&identity(Role::Entry, 2)),
+        identity: Identity::clone(&identity(Role::Entry, GATEWAY_ID)),
         seeds: Rc::new(move || vec![keeper_address]),
         leader_timeout_ms: 100,
         engine: EngineSettings {
@@ -176,7 +179,9 @@
         }
         let open = || -> usize { runners.iter().map(|runner| runner.open.get()).sum() };
         let attached = || -> usize { runners.iter().map(|runner| runner.attached.get()).sum() };
-        keeper.set_agents(agents.iter().copied().take(4));
+        // The runners that the gateway prefers join later, so that they displace the others.
+        let preferred = choose_subset(GATEWAY_ID, &agents, MAX_RUNNERS);
+        keeper.set_agents(agents.difference(&preferred).copied().take(4));
         start_gateway(keeper_address, MAX_RUNNERS);
         wait_until("three runners are followed", || attached() == MAX_RUNNERS).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
