Give up tasks that crash the instances that start them

Seen by callers: from the first search that crashes instances on, nothing is served.

Cause: an unbounded retry of a poisonous request. A runner reported the runs of an instance that had exited as lapsed, like runs whose lease had expired. A lapsed run counts neither as an attempt nor against the instance, so the task was started again at once.

Change: a runner reports such runs as crashed, with a strong suspicion for those that started last and a weak one for the others. A crash is recorded before the task starts again; the runner repeats it to each new leader until it is recorded, and a gateway remembers it when a job is submitted again. The runs of a draining instance are not counted, and those of a silent one only if it has restarted.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -52,6 +52,11 @@
             (Some(TaskState::Ending(run)), RunEnd::Failed) if run == number => {
                 return EndAction::Record(TaskEnd::Failed);
             }
+            // A crash counts whenever it is reported, also after the task was requeued.
+            (Some(TaskState::Done) | None, _) => return EndAction::Confirm,
+            (Some(_), RunEnd::Crashed(suspicion)) => {
+                return EndAction::Record(TaskEnd::Crashed(suspicion));
+            }
             _ => return EndAction::Confirm,
         }
         if let Some(run) = run {
@@ -68,6 +73,10 @@
                 self.set_waiting(task);
                 EndAction::Confirm
             }
+            RunEnd::Crashed(suspicion) => {
+                self.note_crash(id, task, suspicion);
+                self.begin_recording(task, number, TaskEnd::Crashed(suspicion))
+            }
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
                 self.set_waiting(task);
                 EndAction::Confirm
@@ -114,7 +123,11 @@
             RunEnd::Failed | RunEnd::Stalled => {
                 agent.health.record_failure(now);
             }
-            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
+            RunEnd::Stopped
+            | RunEnd::Lapsed
+            | RunEnd::Broken
+            | RunEnd::Alone
+            | RunEnd::Crashed(_) => {}
         }
     }
 
@@ -142,7 +155,7 @@
                 job.set_state(task, TaskState::Done);
                 self.rerank(task.job);
             }
-            TaskEnd::Failed => self.set_waiting(task),
+            TaskEnd::Failed | TaskEnd::Crashed(_) => self.set_waiting(task),
         }
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! The dispatcher and its state.
 
 mod admission;
+mod crashes;
 mod ends;
 mod place;
 mod scarcity;
@@ -116,6 +117,7 @@
                 dispatcher.add_job(id, &record.queue, open, age, TaskState::Unknown);
             }
         }
+        dispatcher.restore_crashes(store);
         dispatcher.end_takeover_if_done();
         dispatcher
     }
@@ -189,6 +191,7 @@
                 last_run: run_floor,
                 avoid_agent: None,
                 instance_failures: 0,
+                strong_crashes: 0,
             };
             let tasks: Vec<Task> = progress.iter().map(task).collect();
             let waits = |index: &u16| tasks[usize::from(*index)].state == TaskState::Waiting;
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -34,6 +34,8 @@
     /// Number of runs that failed or stalled, or whose start the instance refused as unhealthy or
     /// left unanswered.
     pub(crate) instance_failures: u32,
+    /// Number of crashes of its instances under strong suspicion.
+    pub(crate) strong_crashes: u32,
 }
 
 /// A step with its tasks.
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -47,6 +47,9 @@
     /// It made no progress, and its agent stopped it.
     #[display("stalled")]
     Stalled,
+    /// Its instance crashed.
+    #[display("crashed")]
+    Crashed(Suspicion),
 }
 
 /// An agent's report of a run.
--- a/crates/hemlock_jobs/src/command.rs
+++ b/crates/hemlock_jobs/src/command.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Configuration;
+use crate::crash::Suspicion;
 use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
 use crate::instance::InstanceReport;
 use crate::spec::JobSpec;
@@ -48,6 +49,8 @@
     Done,
     /// The run failed, which counts as an attempt.
     Failed,
+    /// The instance crashed under the run.
+    Crashed(Suspicion),
 }
 
 /// A change of the job store.
--- a/crates/hemlock_jobs/src/lib.rs
+++ b/crates/hemlock_jobs/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod command;
 pub mod config;
+pub mod crash;
 pub mod error;
 pub mod evacuation;
 pub mod ids;
@@ -28,6 +29,7 @@
 pub mod prelude {
     pub use crate::command::{Acceptance, Batch, Command, TaskEnd};
     pub use crate::config::{Configuration, Queue, QueueMatch, ServicePool};
+    pub use crate::crash::{Suspicion, TaskCrashes};
     pub use crate::error::{ConfigurationError, JobSpecError, JobStoreError};
     pub use crate::evacuation::Evacuations;
     pub use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
--- a/crates/hemlock_jobs/src/record.rs
+++ b/crates/hemlock_jobs/src/record.rs
@@ -11,7 +11,7 @@
 pub enum JobOutcome {
     /// Every task is done.
     Complete,
-    /// A task has reached its maximum number of failed runs.
+    /// A task has reached its maximum number of failed runs, or of crashes of its instances.
     Failed,
     /// Its caller cancelled it.
     Canceled,
@@ -135,6 +135,8 @@
         let task = step.get_mut(usize::from(key.index))?;
         match end {
             _ if task.done => return None,
+            // Crashes are counted apart from failed runs.
+            TaskEnd::Crashed(_) => return None,
             TaskEnd::Done => task.done = true,
             TaskEnd::Failed if run <= task.last_failed => return None,
             TaskEnd::Failed => {
@@ -146,7 +148,7 @@
         match end {
             TaskEnd::Failed if failed => Some(JobOutcome::Failed),
             TaskEnd::Done if open.is_done() => Some(JobOutcome::Complete),
-            TaskEnd::Done | TaskEnd::Failed => None,
+            TaskEnd::Done | TaskEnd::Failed | TaskEnd::Crashed(_) => None,
         }
     }
 
--- a/crates/hemlock_jobs/src/store.rs
+++ b/crates/hemlock_jobs/src/store.rs
@@ -7,6 +7,7 @@
 
 use crate::command::{Acceptance, Batch, Command, TaskEnd};
 use crate::config::Configuration;
+use crate::crash::{CrashLog, Suspicion, TaskCrashes};
 use crate::error::JobStoreError;
 use crate::evacuation::Evacuations;
 use crate::ids::{AgentId, JobId, RunNumber, TaskKey};
@@ -51,10 +52,12 @@
     agents_version: u64,
     instances: BTreeMap<AgentId, InstanceReport>,
     evacuations: Evacuations,
+    crashes: CrashLog,
 }
 
-/// The first part of a snapshot. The evacuations follow it, and are missing from snapshots of
-/// earlier versions, which ignore what follows this part.
+/// The first part of a snapshot. The evacuations follow it, and then the crashes by task, if there
+/// are any. Either is missing from snapshots of earlier versions, of which the first ones ignore what
+/// follows this part.
 #[derive(Serialize, Deserialize)]
 struct SnapshotData {
     now_ms: u64,
@@ -84,8 +87,12 @@
     /// Returns an error if `data` is not a valid snapshot.
     pub fn restore(&mut self, data: &[u8]) -> Result<(), JobStoreError> {
         let (stored, rest): (SnapshotData, &[u8]) = postcard::take_from_bytes(data)?;
-        let evacuations = match rest {
-            [] => Evacuations::default(),
+        let (evacuations, rest) = match rest {
+            [] => (Evacuations::default(), rest),
+            rest => postcard::take_from_bytes(rest)?,
+        };
+        let crashes: BTreeMap<TaskKey, TaskCrashes> = match rest {
+            [] => BTreeMap::new(),
             rest => postcard::from_bytes(rest)?,
         };
         *self = Self {
@@ -99,6 +106,7 @@
             agents_version: stored.agents_version,
             instances: stored.instances,
             evacuations,
+            crashes: CrashLog::from_tasks(crashes),
         };
         Ok(())
     }
@@ -125,7 +133,12 @@
             agents_version: self.agents_version,
             instances: self.instances.clone(),
         };
-        Ok(postcard::to_stdvec(&(&stored, &self.evacuations))?.into())
+        let mut data = postcard::to_stdvec(&(&stored, &self.evacuations))?;
+        // Without crashes, a snapshot is the same as one of an earlier version.
+        if !self.crashes.tasks().is_empty() {
+            data = postcard::to_extend(self.crashes.tasks(), data)?;
+        }
+        Ok(data.into())
     }
 
     /// Applies the commands of a log entry and returns the outcome of each.
@@ -206,12 +219,27 @@
         if let Some(outcome) = record.outcome() {
             return ApplyOutcome::AlreadyEnded(outcome);
         }
+        if let TaskEnd::Crashed(suspicion) = end {
+            return self.note_crash(key, run, suspicion);
+        }
         match record.end_task(key, run, end) {
             Some(outcome) => self.close(key.job, outcome),
             None => ApplyOutcome::Done,
         }
     }
 
+    fn note_crash(&mut self, key: TaskKey, run: RunNumber, suspicion: Suspicion) -> ApplyOutcome {
+        let open = self.jobs.get(&key.job).and_then(JobRecord::open);
+        match open.and_then(|open| open.task(key)) {
+            Some(task) if !task.done => {}
+            Some(_) | None => return ApplyOutcome::Done,
+        }
+        match self.crashes.add(self.now_ms, key, run, suspicion) {
+            true => self.close(key.job, JobOutcome::Failed),
+            false => ApplyOutcome::Done,
+        }
+    }
+
     fn close(&mut self, id: JobId, outcome: JobOutcome) -> ApplyOutcome {
         if let Some(record) = self.jobs.get_mut(&id) {
             record.close(outcome);
@@ -229,6 +257,10 @@
             self.ended.pop_front();
             self.jobs.remove(&id);
         }
+        let until_ms = self.now_ms.saturating_sub(self.retention_ms);
+        let jobs = &self.jobs;
+        let is_open = |id: JobId| jobs.get(&id).is_some_and(JobRecord::is_open);
+        self.crashes.remove_expired(until_ms, is_open);
     }
 
     /// The store's clock in milliseconds: the highest time of all applied batches.
@@ -271,7 +303,13 @@
         self.instances.get(&agent)
     }
 
-    /// Removes a job in any state. Only for stores that are not replicated.
+    /// Tasks of open and recent jobs whose instances have crashed.
+    pub fn crashed_tasks(&self) -> &BTreeMap<TaskKey, TaskCrashes> {
+        self.crashes.tasks()
+    }
+
+    /// Removes a job in any state. Only for stores that are not replicated. The crashes of its
+    /// tasks are remembered for the retention time, because the job may be submitted again.
     pub fn forget(&mut self, id: JobId) {
         self.jobs.remove(&id);
     }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -298,6 +298,9 @@
             match answer {
                 Ok(Ok(Reply::Done)) => {
                     runner.runs.borrow_mut().settle(numbers);
+                    if let Request::Report(_, _, report) = &request {
+                        runner.runs.borrow_mut().settle_crashes(&report.ended);
+                    }
                     runner.listing_due.notify_one();
                 }
                 // The next session's inventory contains the request's content.
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -1,5 +1,6 @@
 //! State of the runs at one instance, of the owners that order them, and of the instance's lease.
 
+mod crashes;
 mod listing;
 mod orders;
 mod owners;
@@ -7,6 +8,7 @@
 mod queue;
 mod start_limit;
 
+use crashes::CrashReports;
 pub use owners::Claim;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -135,6 +137,15 @@
     pub reason: RefusalReason,
 }
 
+/// How an instance was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// Its process has exited.
+    Exit,
+    /// It has not answered for longer than any lease lasts, so its runs have ended.
+    Silent,
+}
+
 /// Outcome of an order that its owner must be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -224,6 +235,8 @@
     breaker: Breaker,
     /// Ends of the last few seconds, for owners that reconnect.
     recent_ends: VecDeque<(Instant, RunReport)>,
+    /// Crashes of the instance that are still to be recorded.
+    crashes: CrashReports,
     /// Outcomes that their owners are still to be told.
     outbox: Vec<(Owner, RunOutcome)>,
     /// Tasks whose stop failed and must be sent again.
@@ -269,6 +282,7 @@
             settled: 0,
             breaker: Breaker::default(),
             recent_ends: VecDeque::new(),
+            crashes: CrashReports::default(),
             outbox: Vec::new(),
             stop_retries: BTreeSet::new(),
             unclaimed_since: None,
@@ -436,7 +450,7 @@
         let margin = DurationMs::new(self.settings.max_stop_ms + LEASE_MARGIN_MS);
         let lapsed = now > self.lease_extended_at + self.longest_lease() + margin;
         match lapsed && !self.is_answering(now) {
-            true => self.instance_lost(now),
+            true => self.note_lost(now, Loss::Silent),
             false => InstanceChange::None,
         }
     }
@@ -574,12 +588,15 @@
         }
     }
 
-    /// Handles the loss of the instance: it has exited, or has not answered for longer than any
-    /// lease lasts.
+    /// Handles the loss of the instance, whose process has exited.
     pub fn instance_lost(&mut self, now: Instant) -> InstanceChange {
+        self.note_lost(now, Loss::Exit)
+    }
+
+    fn note_lost(&mut self, now: Instant, loss: Loss) -> InstanceChange {
         let was_present = self.reachable || !self.table.is_empty();
         self.reachable = false;
-        self.lapse_all_runs(now);
+        self.end_all_runs(now, loss);
         match was_present {
             true => InstanceChange::RunsLost,
             false => InstanceChange::None,
@@ -623,7 +640,8 @@
         }
         if restarted {
             self.breaker = Breaker::default();
-            self.lapse_all_runs(now);
+            self.end_all_runs(now, Loss::Exit);
+            self.report_silent_crashes(now);
             self.reachable = false;
             self.clock = None;
             self.cold = ColdPhase::default();
@@ -635,24 +653,6 @@
         self.clock = Some(ClockReading { clock_ms, at });
     }
 
-    /// Reports all tracked runs as lapsed and refuses all queued starts.
-    fn lapse_all_runs(&mut self, now: Instant) {
-        let table = std::mem::take(&mut self.table);
-        self.used = Resources::default();
-        self.stop_retries.clear();
-        self.unclaimed_since = None;
-        for (task, tracked) in table {
-            let report = RunReport {
-                task,
-                run: tracked.run,
-                end: Some(RunEnd::Lapsed),
-                took_ms: tracked.elapsed_ms(now),
-            };
-            self.report_end(now, tracked.owner, report, None);
-        }
-        self.refuse_queue(RefusalReason::NoInstance);
-    }
-
     /// Remembers an end and reports it to the owner.
     fn report_end(
         &mut self,
--- /dev/null
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -0,0 +1,119 @@
+//! Runs that end because their instance has exited.
+
+use std::collections::VecDeque;
+
+use hemlock_dispatch::prelude::{RefusalReason, RunEnd, RunReport};
+use hemlock_jobs::prelude::*;
+use hemlock_types::time::Instant;
+
+use super::{Loss, Runs};
+use crate::tracked_run::{Owner, Phase, TrackedRun};
+
+/// Greatest time between the start of a run and that of the last run before a crash for the run to
+/// be strongly suspected, in milliseconds. Starts of several owners arrive interleaved.
+const STRONG_SUSPICION_MS: u64 = 20;
+/// Most crash reports that wait to be recorded. Further ones replace the oldest.
+const MAX_CRASH_REPORTS: usize = 1_024;
+
+/// Crash reports that must not be lost with an owner's session.
+#[derive(Debug, Default)]
+pub(super) struct CrashReports {
+    /// Reports of runs whose ends must be recorded, oldest first, until the leader has done so.
+    to_record: VecDeque<RunReport>,
+    /// Runs that ended when the instance had been silent for too long. A restart of the instance
+    /// shows that it crashed.
+    silent: Vec<(Option<Owner>, RunReport)>,
+}
+
+impl CrashReports {
+    fn keep(&mut self, report: RunReport) {
+        if self.to_record.len() >= MAX_CRASH_REPORTS {
+            self.to_record.pop_front();
+        }
+        self.to_record.push_back(report);
+    }
+
+    pub(super) fn to_record(&self) -> impl Iterator<Item = RunReport> + '_ {
+        self.to_record.iter().copied()
+    }
+
+    pub(super) fn settle(&mut self, report: &RunReport) {
+        self.to_record.retain(|kept| kept != report);
+    }
+}
+
+impl Runs {
+    /// Ends all tracked runs and refuses all queued starts, because the instance is lost.
+    pub(super) fn end_all_runs(&mut self, now: Instant, loss: Loss) {
+        let table = std::mem::take(&mut self.table);
+        self.used = Resources::default();
+        self.stop_retries.clear();
+        self.unclaimed_since = None;
+        let instance = self.instance.as_ref();
+        let is_leaving = instance.is_some_and(|instance| instance.draining);
+        let youngest_ms = table
+            .values()
+            .filter(|tracked| matches!(tracked.phase, Phase::Running(_)))
+            .map(|tracked| tracked.elapsed_ms(now))
+            .min()
+            .unwrap_or(0);
+        for (task, tracked) in table {
+            let end = match loss {
+                // A planned exit of the instance is no fault of what it runs.
+                Loss::Exit if !is_leaving => end_by_exit(now, &tracked, youngest_ms),
+                Loss::Exit | Loss::Silent => RunEnd::Lapsed,
+            };
+            let report = RunReport {
+                task,
+                run: tracked.run,
+                end: Some(end),
+                took_ms: tracked.elapsed_ms(now),
+            };
+            if loss == Loss::Silent && !is_leaving {
+                self.crashes.silent.push((tracked.owner, report));
+            }
+            self.report_lost_run(now, tracked.owner, report);
+        }
+        self.refuse_queue(RefusalReason::NoInstance);
+    }
+
+    /// Forgets the runs of an instance that fell silent, because it has not crashed.
+    pub(super) fn forget_silent_runs(&mut self) {
+        self.crashes.silent.clear();
+    }
+
+    /// Reports the runs of an instance that fell silent as crashed, after it has been restarted.
+    pub(super) fn report_silent_crashes(&mut self, now: Instant) {
+        for (owner, report) in std::mem::take(&mut self.crashes.silent) {
+            let end = Some(RunEnd::Crashed(Suspicion::Weak));
+            self.report_lost_run(now, owner, RunReport { end, ..report });
+        }
+    }
+
+    fn report_lost_run(&mut self, now: Instant, owner: Option<Owner>, report: RunReport) {
+        let is_recorded = report.run.is_recorded();
+        let crashed = matches!(report.end, Some(RunEnd::Crashed(_)));
+        if crashed && is_recorded {
+            self.crashes.keep(report);
+        }
+        // Only the leader records ends, also those of runs whose owner is unknown.
+        let recipient = owner.or((crashed && is_recorded).then_some(Owner::Leader));
+        self.report_end(now, recipient, report, None);
+    }
+}
+
+/// How a run ended that was at an instance when the instance exited.
+fn end_by_exit(now: Instant, tracked: &TrackedRun, youngest_ms: u64) -> RunEnd {
+    let is_among_last = tracked.elapsed_ms(now) <= youngest_ms + STRONG_SUSPICION_MS;
+    match tracked.phase {
+        Phase::Running(_) if is_among_last => RunEnd::Crashed(Suspicion::Strong),
+        // The stop was carried out before the exit.
+        Phase::Stopping {
+            accepted: Some(_), ..
+        } => RunEnd::Lapsed,
+        // A start without an answer may have reached the instance before it exited.
+        Phase::Running(_) | Phase::Starting | Phase::Stopping { .. } => {
+            RunEnd::Crashed(Suspicion::Weak)
+        }
+    }
+}
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -33,6 +33,9 @@
         self.fence_accepted = true;
         self.last_answered_request_at = self.last_answered_request_at.max(asked_at);
         self.note_ends(now, listing);
+        if first && !restarted {
+            self.forget_silent_runs();
+        }
         let mut calls = match first {
             true => {
                 self.import_runs(now, listing);
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -135,6 +135,7 @@
         let ends = self.ends.values();
         let ends = ends.filter(|ended| matches!(ended.owner, None | Some(Owner::Leader)));
         inventory.runs.extend(ends.map(|ended| ended.report));
+        inventory.runs.extend(self.crashes.to_record());
         self.outbox.retain(|(owner, _)| *owner != Owner::Leader);
         inventory
     }
@@ -176,9 +177,17 @@
         for ended in ends.filter(|ended| ended.report == *report) {
             ended.settled = true;
         }
+        self.crashes.settle(report);
         self.advance_settled();
     }
 
+    /// Removes crashes that the leader has recorded.
+    pub fn settle_crashes(&mut self, reports: &[RunReport]) {
+        reports
+            .iter()
+            .for_each(|report| self.crashes.settle(report));
+    }
+
     /// Marks ends as settled: they are recorded or need no record.
     pub fn settle(&mut self, numbers: impl IntoIterator<Item = u64>) {
         for number in numbers {
