Keep a runner's outcomes for the leader until its session is adopted

Cause, from the code: ends and refusals that arise between the taking of the inventory and its adoption were taken from the outbox and dropped. They are in no later inventory either, so the leader takes the run to go on for good.

Change: what the leader must be told stays in the outbox until its session is adopted.

Evidence: ends_during_an_adoption_wait_for_it drives the path that dropped them.

--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -236,7 +236,10 @@
 
     /// Reports ended runs and refused starts to their owners.
     fn report_outcomes(self: &Rc<Self>) {
-        let outcomes = self.runs.borrow_mut().take_outbox();
+        let outcomes = match self.leader_adopted.get() {
+            true => self.runs.borrow_mut().take_outbox(),
+            false => self.runs.borrow_mut().take_gateway_outbox(),
+        };
         if outcomes.is_empty() {
             return;
         }
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -215,7 +215,7 @@
 
     fn run_for_ms(&mut self, duration_ms: u64) {
         for elapsed_ms in (0..duration_ms).step_by(10) {
-            self.now = self.now + DurationMs::new(10);
+            self.now += DurationMs::new(10);
             while self.carry_out_orders() {}
             if elapsed_ms % 500 == 0 {
                 self.restart_instances();
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -465,6 +465,17 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Like [`Runs::take_outbox`], for the gateways only.
+    ///
+    /// What happens after the leader's inventory was taken and before the leader has adopted it is
+    /// in neither that inventory nor the next one, so it waits for the adoption.
+    pub fn take_gateway_outbox(&mut self) -> Vec<(Owner, RunOutcome)> {
+        let outcomes = self.take_outbox().into_iter();
+        let (to_leader, to_gateways) = outcomes.partition(|(owner, _)| *owner == Owner::Leader);
+        self.outbox = to_leader;
+        to_gateways
+    }
+
     /// The instance's load and free capacity, as an owner needs them for further orders.
     pub fn load_report(&self, now: Instant, owner: Owner) -> LoadReport {
         let free = match (self.instance(), self.has_unclaimed()) {
--- a/crates/hemlock_runs/tests/crashes.rs
+++ b/crates/hemlock_runs/tests/crashes.rs
@@ -78,6 +78,19 @@
     assert_eq!(take_ends(&mut harness), vec![]);
 }
 
+/// Guards against an end that is lost because it happened while the leader adopted the inventory, so
+/// that the leader believed the task to run for good.
+#[test]
+fn ends_during_an_adoption_wait_for_it() {
+    let mut harness = Harness::new();
+    harness.runs.attach_leader(harness.now, SessionId(1));
+    harness.start(Owner::Leader, 1, 1, 6_000);
+    harness.runs.instance_lost(harness.now);
+    assert_eq!(harness.runs.take_gateway_outbox(), vec![]);
+    let crashed = RunEnd::Crashed(Suspicion::Strong);
+    assert_eq!(take_ends(&mut harness), vec![(task(1), Some(crashed))]);
+}
+
 /// Guards against a crash that is forgotten because the leader was lost before it was recorded.
 #[test]
 fn a_new_leader_learns_of_a_crash_until_it_is_recorded() {
