Confine queues whose tasks crash instances, and reject jobs during a known outage

Seen by callers: although each task that crashes instances is given up after two or three of them, a tenth of the searches still keeps nearly all instances down, and with them the work of every queue. While all instances are gone, jobs are admitted and answered 504 at their deadline.

Cause: each such task may cost two instances for some seconds, and more of them arrive than instances come back. Admission took the wait to be zero when no instance was there.

Change: two strongly suspected crashes of one task confine its queue to a quarter of the service's instances, which other queues avoid, until 5 s have passed without such a task. All dispatchers rank instances alike, so no message is needed. There, suspected tasks of one job run at a time. When all instances that a job could use are known to have exited, its expected wait is the rest of the usual outage, as last seen; admission then rejects it with that time to come back.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -93,7 +93,7 @@
             .saturating_sub(critical_path_ms);
         let usual_wait_ms = slack_ms as f64 * self.admit_slack_share(queue);
         let most_wait_ms = slack_ms as f64 * self.settings.max_admit_slack_share;
-        let wait_ms = self.expected_wait_ms(&queue.service, policy.priority);
+        let wait_ms = self.expected_wait_ms(queue);
         let min_duration_ms = wait_ms + critical_path_ms / MAX_OVERESTIMATE_FACTOR;
         let misses_deadline = time_left.is_some_and(|left| min_duration_ms > left.as_ms());
         let work = spec_work(spec);
@@ -163,10 +163,14 @@
     /// Expected wait of new work of the given priority, in milliseconds. It covers the work that
     /// goes first in the dispatcher and in the queues of the instances, and more urgent work that
     /// arrives meanwhile.
-    fn expected_wait_ms(&self, service: &str, priority: u32) -> u64 {
+    fn expected_wait_ms(&self, queue: &Queue) -> u64 {
+        let (service, priority) = (queue.service.as_str(), queue.priority);
         let level = Urgency::of_new_work(priority).level();
         let own_service = |agent: &&Agent| agent.serves(service);
-        let agents = self.agents.values().filter(|agent| agent.accepts_work());
+        let allowed = |id: &AgentId| self.containment.allows(service, &queue.name, *id);
+        let agents = self.agents.iter().filter(|(id, _)| allowed(id));
+        let agents = agents.map(|(_, agent)| agent);
+        let agents = agents.filter(|agent| agent.accepts_work());
         // The short queue of an instance that receives no work must not lower the expected wait.
         let healthy = |agent: &&Agent| agent.health.admits(self.now, agent.runs.len());
         let agents: Vec<&Agent> = agents.filter(own_service).filter(healthy).collect();
@@ -177,17 +181,19 @@
         };
         let share: u64 = agents.iter().map(share).sum();
         if share == 0 {
-            // Without any instance the wait is unknown, and an instance may join at any moment.
-            return 0;
+            // Without a known outage the wait is unknown, and an instance may join at any moment.
+            return self.expected_outage_ms(queue).unwrap_or(0);
         }
         let goes_first =
             |rank: &&Rank| rank.timeliness == Timeliness::OnTime && rank.priority <= priority;
+        let is_confined = self.containment.is_confined(&queue.name);
         let local_work: u64 = self
             .ready
             .iter()
             .filter(goes_first)
             .filter_map(|rank| self.jobs.get(&rank.job))
             .filter(|job| job.service == service)
+            .filter(|job| self.containment.is_confined(&job.queue) == is_confined)
             .map(|job| job.waiting_work())
             .sum();
         let minimal_needs = Resources {
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 mod withdrawal;
 
 pub use admission::{AdmissionError, RejectionCause};
+pub use crashes::ConfinementChange;
 pub use sessions::Adoption;
 pub use withdrawal::Withdrawal;
 
@@ -19,6 +20,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 
 use crate::admitted::AdmittedWork;
+use crate::containment::Containment;
 use crate::estimate::MAX_OVERESTIMATE_FACTOR;
 use crate::instance::Agent;
 use crate::job::{Job, Policy, Step, Task, TaskState, spec_critical_path_ms};
@@ -31,6 +33,8 @@
 
 /// How long the highest run number of a removed job is remembered.
 const DROPPED_RUNS_RETENTION: DurationMs = DurationMs::new(10_000);
+/// Assumed duration of an outage before the first one is over, in milliseconds.
+const INITIAL_OUTAGE_MS: u64 = 1_000;
 /// How many run numbers per task each leader may use, so that no two leaders use the same one.
 const RUNS_PER_GENERATION: u64 = 1_000;
 
@@ -80,6 +84,12 @@
     /// The highest run numbers of removed jobs, oldest first, because a job may be submitted again.
     dropped_runs: VecDeque<(Instant, JobId, RunNumber)>,
     withdrawals: Withdrawals,
+    /// Queues whose tasks crash instances.
+    containment: Containment,
+    /// Changes of the confined queues that are still to be logged.
+    confinement_changes: Vec<ConfinementChange>,
+    /// How long the last instance that came back had been gone, in milliseconds.
+    usual_outage_ms: u64,
 }
 
 impl Dispatcher {
@@ -107,6 +117,9 @@
             next_scan: now,
             dropped_runs: VecDeque::new(),
             withdrawals: Withdrawals::default(),
+            containment: Containment::default(),
+            confinement_changes: Vec::new(),
+            usual_outage_ms: INITIAL_OUTAGE_MS,
         };
         if let Some(configuration) = store.configuration() {
             dispatcher.configure(configuration);
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -119,7 +119,7 @@
             level: self.urgency(job).level(),
             max_wait_ms: self.max_queue_wait_ms(job),
         };
-        let below_instance_limit = |_: AgentId, agent: &Agent| match spec.max_per_instance {
+        let below_instance_limit = |agent: &Agent| match spec.max_per_instance {
             0 => true,
             most => {
                 let same_step = |run: &&TaskKey| run.job == key.job && run.step == key.step;
@@ -132,7 +132,7 @@
             &request,
             self.settings.capacity,
             agents,
-            below_instance_limit,
+            |id, agent| below_instance_limit(agent) && self.allows_placement(job, key, id),
         )
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -50,13 +50,16 @@
         let agent = self.agents.get_mut(&id)?;
         agent.adopted = true;
         agent.confirmed = now;
-        agent.instance.clone_from(&inventory.instance);
+        let outage = agent.set_instance(now, inventory.instance.clone());
         agent.note_evacuations(&self.evacuations);
         let known: Vec<(TaskKey, RunNumber)> = agent
             .runs
             .iter()
             .map(|(task, run)| (*task, run.number))
             .collect();
+        outage
+            .into_iter()
+            .for_each(|outage| self.note_outage(outage));
         let mut adoption = Adoption::default();
         for report in &inventory.runs {
             match report.end {
@@ -201,11 +204,14 @@
         let Some(agent) = self.agents.get_mut(&id) else {
             return;
         };
-        agent.instance = instance;
+        let outage = agent.set_instance(now, instance);
         agent.note_evacuations(&self.evacuations);
         if runs_lost {
             agent.forget_runs();
         }
+        outage
+            .into_iter()
+            .for_each(|outage| self.note_outage(outage));
         self.placement_due = true;
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/tick.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/tick.rs
@@ -18,6 +18,7 @@
             self.next_scan = self.now + SCAN_PERIOD;
             self.expire_agents();
             self.note_ended_ejections();
+            self.expire_confinements();
         }
     }
 
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use hemlock_jobs::prelude::*;
-use hemlock_types::time::Instant;
+use hemlock_types::time::{DurationMs, Instant};
 
 use crate::health::Health;
 use crate::order::{LoadReport, REPORTED_ENDS, SessionId, StartOrder, StopOrder, WITHHOLDS_ALL};
@@ -46,6 +46,10 @@
     /// When the leader last confirmed the agent's authority.
     pub(crate) confirmed: Instant,
     pub(crate) instance: Option<InstanceReport>,
+    /// The service of the latest instance.
+    service: Option<String>,
+    /// When the instance exited; `None` unless it is known to be gone.
+    pub(crate) exited_at: Option<Instant>,
     /// Capacity that the runs take.
     pub(crate) used: Resources,
     /// The agent's latest load report, if the instance is shared with other dispatchers.
@@ -78,6 +82,8 @@
             withheld_percent: 0,
             confirmed: now,
             instance: None,
+            service: None,
+            exited_at: None,
             used: Resources::default(),
             load: None,
             load_at: now,
@@ -112,6 +118,36 @@
         is_attached && !is_suspended && self.instance.as_ref().is_some_and(is_staying)
     }
 
+    /// Replaces the instance. Returns how long it was gone if it is back.
+    pub(crate) fn set_instance(
+        &mut self,
+        now: Instant,
+        instance: Option<InstanceReport>,
+    ) -> Option<DurationMs> {
+        let was_leaving = self
+            .instance
+            .as_ref()
+            .is_none_or(|earlier| earlier.draining);
+        self.instance = instance;
+        match &self.instance {
+            Some(current) => {
+                self.service = Some(current.service.clone());
+                self.exited_at.take().map(|exited_at| now.since(exited_at))
+            }
+            None => {
+                if !was_leaving {
+                    self.exited_at = Some(now);
+                }
+                None
+            }
+        }
+    }
+
+    /// The service of the instance, or of the latest one if it is gone.
+    pub(crate) fn last_service(&self) -> Option<&str> {
+        self.service.as_deref()
+    }
+
     /// Whether the instance has a label, such as that of its rack.
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.instance.as_ref().map(|instance| &instance.labels);
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -122,6 +122,11 @@
             .all(Step::is_done)
     }
 
+    pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
+        let step = self.steps.get(usize::from(key.step))?;
+        step.tasks.get(usize::from(key.index))
+    }
+
     pub(crate) fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
         self.steps
             .get_mut(usize::from(key.step))?
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod admitted;
+mod containment;
 pub mod dispatcher;
 mod estimate;
 mod health;
@@ -31,7 +32,9 @@
 
 /// The items that most callers need.
 pub mod prelude {
-    pub use crate::dispatcher::{AdmissionError, Dispatcher, JobStage, RejectionCause, Withdrawal};
+    pub use crate::dispatcher::{
+        AdmissionError, ConfinementChange, Dispatcher, JobStage, RejectionCause, Withdrawal,
+    };
     pub use crate::order::{
         EndAction, Inventory, LoadReport, Order, REPORTED_ENDS, RefusalReason, RunEnd, RunReport,
         SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency, WITHHOLDS_ALL,
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -21,6 +21,7 @@
 use super::service::CoordinatorService;
 use super::waiters::{CommandWaiter, ReadWaiter, reply};
 use super::watchers::Watchers;
+use crate::confinement::log_confinement_changes;
 use crate::message::{CallerAnswer, EvacuationAnswer, Reply, RunnerReply, RunnerRequest};
 use crate::task_set::TaskSet;
 
@@ -541,7 +542,9 @@
             self.pending_commands
                 .push((Command::Delist(agent), CommandWaiter::Nobody));
         }
-        for order in dispatcher.poll(self.now) {
+        let orders = dispatcher.poll(self.now);
+        log_confinement_changes(dispatcher.take_confinement_changes());
+        for order in orders {
             let connection = self.sessions.get(&order.agent);
             let connection = connection.filter(|(session, _)| *session == order.session);
             let link = connection.and_then(|(_, connection)| self.service.link(*connection));
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 use tracing::info;
 
+use crate::confinement::log_confinement_changes;
 use crate::message::{CallerAnswer, Rejection, Report, RunnerUpdate};
 
 /// Retention of a job's result for repeated requests, in milliseconds.
@@ -243,6 +244,7 @@
     pub fn step(&mut self, now: Instant) -> Vec<Order> {
         self.answer_withdrawn(now);
         let orders = self.dispatcher.poll(now);
+        log_confinement_changes(self.dispatcher.take_confinement_changes());
         let expired = self.dispatcher.expired_jobs();
         if expired.is_empty()
             && self
--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod address;
+mod confinement;
 pub mod connect_timeouts;
 mod connector;
 pub mod coordinator;
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -10,9 +10,14 @@
 use hemlock_runs::prelude::*;
 use hemlock_standin::InstanceModel;
 use hemlock_types::prelude::*;
+use tokio::sync::oneshot::Receiver;
 
 const OWNER: Owner = Owner::Gateway(Incarnation(1));
-const RUNNERS: u64 = 6;
+const RUNNERS: u64 = 12;
+/// Time for which an instance is gone after a crash.
+const OUTAGE: DurationMs = DurationMs::new(3_000);
+const STEP_MS: u64 = 10;
+const TASK_MS: u64 = 60;
 /// Crashes of a task's runs after which the task must not be started any more.
 const MAX_CRASHES: usize = 3;
 
@@ -22,6 +27,8 @@
     model: InstanceModel,
     session: SessionId,
     born_ms: u64,
+    /// When each run ends.
+    ends_at: BTreeMap<TaskKey, Instant>,
 }
 
 /// A gateway with runners whose instances end as soon as they start a task in `deadly`.
@@ -31,13 +38,18 @@
     sides: BTreeMap<AgentId, Side>,
     deadly: BTreeSet<TaskKey>,
     crashes: BTreeMap<TaskKey, usize>,
+    /// When each instance that is gone comes back.
+    back_at: BTreeMap<AgentId, Instant>,
 }
 
-fn queue() -> Queue {
+const SEARCHES: &str = "searches";
+const POSTINGS: &str = "postings";
+
+fn queue(name: &str) -> Queue {
     Queue {
-        name: "searches".to_owned(),
+        name: name.to_owned(),
         host: "h".to_owned(),
-        path_prefix: "/s/".to_owned(),
+        path_prefix: format!("/{name}/"),
         service: "listings".to_owned(),
         timeout_ms: 1_500,
         target_latency_ms: 60,
@@ -74,6 +86,25 @@
     }
 }
 
+impl Side {
+    /// Advances the instance by one step and ends the tasks that are due.
+    fn end_due_tasks(&mut self, now: Instant) {
+        self.model.advance_ms(STEP_MS);
+        let due: Vec<TaskKey> = self
+            .ends_at
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in due {
+            self.ends_at.remove(&task);
+            if self.model.running().contains_key(&task) {
+                self.model.end(task, RunEnd::Done);
+            }
+        }
+    }
+}
+
 fn list(side: &mut Side, now: Instant) {
     let call = ListCall {
         fence: side.runs.fence(),
@@ -87,6 +118,18 @@
 }
 
 impl Fleet {
+    /// Lets the first task of a job crash any instance that starts it.
+    fn mark_deadly(&mut self, id: u64) -> TaskKey {
+        let task = TaskKey {
+            job: JobId(id),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        self.deadly.insert(task);
+        task
+    }
+
     fn new() -> Self {
         let now = Instant::from_ms(1_000);
         let settings = EngineSettings {
@@ -96,7 +139,7 @@
         let mut engine = Engine::new(now, settings);
         engine.configure(&Configuration {
             version: 1,
-            queues: vec![queue()],
+            queues: vec![queue(SEARCHES), queue(POSTINGS)],
             services: vec![ServicePool {
                 name: "listings".to_owned(),
             }],
@@ -113,6 +156,7 @@
                 model,
                 session,
                 born_ms: 1,
+                ends_at: BTreeMap::new(),
             };
             list(&mut side, now);
             let inventory = side.runs.attach(now, OWNER, session, &[]);
@@ -126,21 +170,26 @@
             sides,
             deadly: BTreeSet::new(),
             crashes: BTreeMap::new(),
+            back_at: BTreeMap::new(),
         }
     }
 
-    fn submit(&mut self, id: u64, width: u16) -> tokio::sync::oneshot::Receiver<CallerAnswer> {
+    fn submit(
+        &mut self,
+        queue_name: &str,
+        id: u64,
+        width: u16,
+    ) -> Result<Receiver<CallerAnswer>, CallerAnswer> {
         let mut step = StepSpec::new(width);
         step.needs.cpu_milli = 6_200;
         step.estimate_ms = 60;
         let submission = Submission {
             id: JobId(id),
-            queue: &queue(),
+            queue: &queue(queue_name),
             spec: JobSpec::new(Bytes::from_static(b"work"), vec![step]),
-            answer_deadline: self.now + DurationMs::new(60_000),
+            answer_deadline: self.now + DurationMs::new(1_500),
         };
-        let submitted = self.engine.submit(self.now, submission);
-        submitted.expect("the job is admitted")
+        self.engine.submit(self.now, submission)
     }
 
     fn send_update(&mut self, agent: AgentId, instance_lost: bool) {
@@ -184,27 +233,32 @@
                 };
                 let result = side.model.start(&call);
                 side.runs.start_answered(self.now, &call, result);
+                side.ends_at
+                    .insert(call.task, self.now + DurationMs::new(TASK_MS));
                 crashed = crashed.or(self.deadly.contains(&call.task).then_some(call.task));
             }
             if let Some(task) = crashed {
                 *self.crashes.entry(task).or_default() += 1;
                 side.runs.instance_lost(self.now);
+                self.back_at.insert(agent, self.now + OUTAGE);
                 self.send_update(agent, true);
             }
         }
         ordered
     }
 
-    /// Starts each instance that is gone again, as a new incarnation without runs.
+    /// Starts each instance whose outage is over, as a new incarnation without runs.
     fn restart_instances(&mut self) {
         let agents: Vec<AgentId> = self.sides.keys().copied().collect();
         for agent in agents {
             let Some(side) = self.sides.get_mut(&agent) else {
                 continue;
             };
-            if side.runs.instance().is_none() {
+            let is_due = self.back_at.get(&agent).is_some_and(|at| *at <= self.now);
+            if side.runs.instance().is_none() && is_due {
                 side.born_ms += 1;
                 side.model = InstanceModel::new(side.born_ms);
+                side.ends_at.clear();
                 let beat = heartbeat(agent, side.born_ms);
                 side.runs.heartbeat_received(self.now, beat);
                 list(side, self.now);
@@ -214,22 +268,21 @@
     }
 
     fn run_for_ms(&mut self, duration_ms: u64) {
-        for elapsed_ms in (0..duration_ms).step_by(10) {
-            self.now += DurationMs::new(10);
+        for _ in 0..duration_ms / STEP_MS {
+            self.now += DurationMs::new(STEP_MS);
             while self.carry_out_orders() {}
-            if elapsed_ms % 500 == 0 {
-                self.restart_instances();
-            }
+            self.restart_instances();
             let agents: Vec<AgentId> = self.sides.keys().copied().collect();
             for agent in agents {
                 if let Some(side) = self.sides.get_mut(&agent) {
                     if side.runs.instance().is_some() {
-                        side.model.advance_ms(10);
+                        side.end_due_tasks(self.now);
                         list(side, self.now);
                     }
                     self.engine
                         .confirm_session(self.now, agent, side.session, None);
                 }
+                self.send_update(agent, false);
             }
         }
     }
@@ -240,14 +293,8 @@
 #[test]
 fn task_that_crashes_its_instances_is_given_up() {
     let mut fleet = Fleet::new();
-    let mut answer = fleet.submit(1, 1);
-    let task = TaskKey {
-        job: JobId(1),
-        occurrence: 0,
-        step: 0,
-        index: 0,
-    };
-    fleet.deadly.insert(task);
+    let task = fleet.mark_deadly(1);
+    let mut answer = fleet.submit(SEARCHES, 1, 1).expect("it is admitted");
     fleet.run_for_ms(10_000);
     let crashes = fleet.crashes[&task];
     assert!(crashes <= MAX_CRASHES, "{crashes} instances crashed");
@@ -257,3 +304,34 @@
         "the caller learns that the job has failed"
     );
 }
+
+/// Guards against a queue of which a tenth crash instances, and with them the work of other queues.
+#[test]
+fn other_queues_are_served_while_one_queue_crashes_instances() {
+    let mut fleet = Fleet::new();
+    let mut postings = Vec::new();
+    // Each 100 ms brings 4 searches and 8 postings; every tenth search is deadly.
+    for round in 0..100_u64 {
+        for search in 0..4 {
+            let id = 1_000 + round * 4 + search;
+            if id % 10 == 0 {
+                fleet.mark_deadly(id);
+            }
+            // Whether searches are served doesn't matter here.
+            let _ = fleet.submit(SEARCHES, id, 4);
+        }
+        for posting in 0..8 {
+            postings.push(fleet.submit(POSTINGS, 10_000 + round * 8 + posting, 2));
+        }
+        fleet.run_for_ms(100);
+    }
+    fleet.run_for_ms(1_500);
+    let served = postings
+        .into_iter()
+        .filter_map(|answer| answer.ok()?.try_recv().ok());
+    let complete = CallerAnswer::Finished(JobOutcome::Complete);
+    let served = served.filter(|answer| *answer == complete).count();
+    assert!(served >= 760, "{served} of 800 postings are served");
+    let most = fleet.crashes.values().max();
+    assert!(most <= Some(&MAX_CRASHES), "{most:?} crashes of one task");
+}
