Tell all gateways which tasks are suspected of a crash

Change: a start carries the id of its queue, and a runner tells every gateway the strongly suspected tasks of a crash, so all of them confine the queue at the second crash of a task. Each confined queue has reserved instances of its own, so a queue confined by mistake isn't harmed by another. It is released once its instances have gone on for 2 s without a crash, which a queue confined by mistake does at once; time without any of them doesn't count.

--- a/crates/hemlock_dispatch/src/containment.rs
+++ b/crates/hemlock_dispatch/src/containment.rs
@@ -2,29 +2,48 @@
 //!
 //! Load pattern: a share of one queue's tasks crash any instance. Each of them is given up after
 //! a few crashes, but more of them arrive than instances come back, so all other work is lost too.
-//! The tasks of such a queue are confined to a few instances, which other queues then avoid. All
-//! dispatchers rank the instances alike, so they reserve the same ones without a message.
+//! The tasks of such a queue are confined to a few instances, which other queues then avoid.
+//!
+//! All dispatchers see the same evidence and rank the instances alike, so they confine the same
+//! queues to the same instances without a message between them. A queue that is confined by mistake
+//! is released soon, because its instances go on without a crash.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use hemlock_jobs::prelude::AgentId;
+use hemlock_jobs::prelude::{AgentId, TaskKey};
 use hemlock_types::time::{DurationMs, Instant};
 
-/// Number of crashes of one task under strong suspicion that confine its queue.
-const CONFINING_CRASHES: u32 = 2;
-/// How long a queue stays confined after the last task that gave reason to.
-const CONFINEMENT: DurationMs = DurationMs::new(5_000);
-/// Divisor of a service's number of instances that gives the number of reserved ones.
+use crate::order::QueueId;
+
+/// Number of instances that must crash under strong suspicion of one task to confine its queue.
+const CONFINING_CRASHES: usize = 2;
+/// How long a suspicion is remembered.
+const EVIDENCE_RETENTION: DurationMs = DurationMs::new(10_000);
+/// How long the instances of a confined queue must go on without a crash to end the confinement.
+const CONFINEMENT: DurationMs = DurationMs::new(2_000);
+/// Divisor of a service's number of instances that gives the number reserved for a confined queue.
 const RESERVED_DIVISOR: usize = 4;
 
+/// The strong suspicion of a task at the crash of an instance.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    at: Instant,
+    task: TaskKey,
+    agent: AgentId,
+}
+
 /// The confined queues of all services.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Containment {
+    /// Recent evidence, oldest first.
+    evidence: VecDeque<Evidence>,
     /// Ends of the confinement by queue.
-    until: HashMap<String, Instant>,
-    /// Reserved agents by service; empty for a service whose only agent would be reserved.
-    reserved: BTreeMap<String, BTreeSet<AgentId>>,
+    until: BTreeMap<QueueId, Instant>,
+    /// The agents that are reserved for each confined queue.
+    reserved: BTreeMap<QueueId, BTreeSet<AgentId>>,
+    /// The agents that unconfined queues avoid.
+    avoided: BTreeSet<AgentId>,
 }
 
 impl Containment {
@@ -33,64 +52,119 @@
         !self.until.is_empty()
     }
 
-    /// Notes the number of strongly suspected crashes that a task of the queue now has. Returns
-    /// whether this confines the queue, which was not confined before.
-    pub(crate) fn note_crashes(&mut self, now: Instant, queue: &str, crashes: u32) -> bool {
-        if crashes < CONFINING_CRASHES {
+    /// Notes that an agent's instance crashed under strong suspicion of the task. Returns whether
+    /// this confines the queue, which was not confined before.
+    pub(crate) fn note_suspect(
+        &mut self,
+        now: Instant,
+        queue: QueueId,
+        task: TaskKey,
+        agent: AgentId,
+    ) -> bool {
+        let is_old = |evidence: &Evidence| now > evidence.at + EVIDENCE_RETENTION;
+        while self.evidence.front().is_some_and(is_old) {
+            self.evidence.pop_front();
+        }
+        let of_task = |evidence: &&Evidence| evidence.task == task;
+        let agents: BTreeSet<AgentId> = self
+            .evidence
+            .iter()
+            .filter(of_task)
+            .map(|evidence| evidence.agent)
+            .collect();
+        if agents.contains(&agent) {
             return false;
         }
-        let until = now + CONFINEMENT;
-        self.until.insert(queue.to_owned(), until).is_none()
+        self.evidence.push_back(Evidence {
+            at: now,
+            task,
+            agent,
+        });
+        let is_at_reserved = || {
+            let reserved = self.reserved.get(&queue);
+            reserved.is_some_and(|reserved| reserved.contains(&agent))
+        };
+        match agents.len() + 1 >= CONFINING_CRASHES || is_at_reserved() {
+            true => self.until.insert(queue, now + CONFINEMENT).is_none(),
+            false => false,
+        }
     }
 
-    /// Ends the confinements whose time is over, and returns their queues.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<String> {
-        let ended = self.until.extract_if(|_, until| *until <= now);
+    /// Ends the confinements whose time is over, and returns their queues. Time in which all
+    /// reserved instances of a queue are gone doesn't count.
+    pub(crate) fn expire(
+        &mut self,
+        now: Instant,
+        is_present: impl Fn(AgentId) -> bool,
+    ) -> Vec<QueueId> {
+        for (queue, until) in &mut self.until {
+            let reserved = self.reserved.get(queue);
+            let mut agents = reserved.into_iter().flatten();
+            if reserved.is_some_and(|reserved| !reserved.is_empty())
+                && !agents.any(|agent| is_present(*agent))
+            {
+                *until = (*until).max(now + CONFINEMENT);
+            }
+        }
+        let ended = self.until.extract_if(.., |_, until| *until <= now);
         ended.map(|(queue, _)| queue).collect()
     }
 
-    /// Updates which of the agents of each service are reserved.
-    pub(crate) fn update_reserved<'a>(&mut self, agents: impl Iterator<Item = (&'a str, AgentId)>) {
-        let mut by_service: BTreeMap<&str, Vec<(u64, AgentId)>> = BTreeMap::new();
-        for (service, agent) in agents {
-            by_service
-                .entry(service)
-                .or_default()
-                .push((rank(agent), agent));
-        }
-        let reserve = |(service, mut ranked): (&str, Vec<(u64, AgentId)>)| {
-            ranked.sort_unstable();
-            let count = match ranked.len() {
+    /// Updates the reserved agents from all agents and from the services of all queues.
+    pub(crate) fn update_reserved(
+        &mut self,
+        agents: &BTreeMap<&str, Vec<AgentId>>,
+        service_of: impl Fn(QueueId) -> Option<String>,
+    ) {
+        self.reserved.clear();
+        self.avoided.clear();
+        for queue in self.until.keys().copied() {
+            let service = service_of(queue);
+            let of_service = service.and_then(|service| agents.get(service.as_str()));
+            let of_service = of_service.map_or(&[][..], Vec::as_slice);
+            let count = match of_service.len() {
                 // With a single agent, all queues share it.
                 0 | 1 => 0,
                 agents => agents.div_ceil(RESERVED_DIVISOR),
             };
-            let reserved = ranked.into_iter().take(count).map(|(_, agent)| agent);
-            (service.to_owned(), reserved.collect())
-        };
-        self.reserved = by_service.into_iter().map(reserve).collect();
+            let free = of_service
+                .iter()
+                .filter(|agent| !self.avoided.contains(agent));
+            let mut ranked: Vec<(u64, AgentId)> =
+                free.map(|agent| (rank(queue, *agent), *agent)).collect();
+            ranked.sort_unstable();
+            let chosen = ranked.into_iter().take(count).map(|(_, agent)| agent);
+            let chosen: BTreeSet<AgentId> = chosen.collect();
+            self.avoided.extend(&chosen);
+            self.reserved.insert(queue, chosen);
+        }
+        for of_service in agents.values() {
+            // Unconfined queues keep some instances in any case.
+            if of_service.iter().all(|agent| self.avoided.contains(agent)) {
+                for agent in of_service {
+                    self.avoided.remove(agent);
+                }
+            }
+        }
     }
 
-    /// Whether tasks of the queue may run at an agent of the service: confined ones only at reserved
-    /// agents, others only elsewhere while any queue is confined.
-    pub(crate) fn allows(&self, service: &str, queue: &str, agent: AgentId) -> bool {
-        match self.reserved.get(service) {
-            Some(reserved) if self.is_active() && !reserved.is_empty() => {
-                reserved.contains(&agent) == self.is_confined(queue)
-            }
-            Some(_) | None => true,
+    /// Whether tasks of the queue may run at an agent.
+    pub(crate) fn allows(&self, queue: QueueId, agent: AgentId) -> bool {
+        match self.reserved.get(&queue) {
+            Some(reserved) if !reserved.is_empty() => reserved.contains(&agent),
+            Some(_) | None => !self.avoided.contains(&agent),
         }
     }
 
     /// Whether the queue is confined.
-    pub(crate) fn is_confined(&self, queue: &str) -> bool {
-        self.until.contains_key(queue)
+    pub(crate) fn is_confined(&self, queue: QueueId) -> bool {
+        self.until.contains_key(&queue)
     }
 }
 
-/// Rank of an agent among those that are reserved, the same for each dispatcher.
-fn rank(agent: AgentId) -> u64 {
+/// Rank of an agent among those that may be reserved for a queue, the same for each dispatcher.
+fn rank(queue: QueueId, agent: AgentId) -> u64 {
     let mut hasher = DefaultHasher::new();
-    agent.hash(&mut hasher);
+    (queue, agent).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -14,7 +14,7 @@
 use crate::estimate::MAX_OVERESTIMATE_FACTOR;
 use crate::instance::Agent;
 use crate::job::{Policy, spec_critical_path_ms, spec_work};
-use crate::order::Urgency;
+use crate::order::{QueueId, Urgency};
 use crate::ranking::{Rank, Timeliness};
 use crate::retry_spread::RetrySpread;
 use crate::size_refusal::{RelativeSize, SizeProfile};
@@ -167,7 +167,8 @@
         let (service, priority) = (queue.service.as_str(), queue.priority);
         let level = Urgency::of_new_work(priority).level();
         let own_service = |agent: &&Agent| agent.serves(service);
-        let allowed = |id: &AgentId| self.containment.allows(service, &queue.name, *id);
+        let queue_id = QueueId::of(&queue.name);
+        let allowed = |id: &AgentId| self.containment.allows(queue_id, *id);
         let agents = self.agents.iter().filter(|(id, _)| allowed(id));
         let agents = agents.map(|(_, agent)| agent);
         let agents = agents.filter(|agent| agent.accepts_work());
@@ -186,14 +187,14 @@
         }
         let goes_first =
             |rank: &&Rank| rank.timeliness == Timeliness::OnTime && rank.priority <= priority;
-        let is_confined = self.containment.is_confined(&queue.name);
+        let is_confined = self.containment.is_confined(queue_id);
         let local_work: u64 = self
             .ready
             .iter()
             .filter(goes_first)
             .filter_map(|rank| self.jobs.get(&rank.job))
             .filter(|job| job.service == service)
-            .filter(|job| self.containment.is_confined(&job.queue) == is_confined)
+            .filter(|job| self.containment.is_confined(job.queue_id) == is_confined)
             .map(|job| job.waiting_work())
             .sum();
         let minimal_needs = Resources {
--- a/crates/hemlock_dispatch/src/dispatcher/crashes.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/crashes.rs
@@ -1,10 +1,13 @@
 //! Instances that crash, and the tasks that may be the cause.
 
+use std::collections::BTreeMap;
+
 use hemlock_jobs::prelude::*;
-use hemlock_types::time::DurationMs;
+use hemlock_types::time::{DurationMs, Instant};
 
 use super::Dispatcher;
 use crate::instance::Agent;
+use crate::order::{CrashSuspect, QueueId};
 
 /// Divisor of the time since a crash that gives the expected rest of an outage that lasts longer
 /// than the one before.
@@ -40,21 +43,38 @@
     }
 
     /// Notes that an agent's instance crashed under a run of the task, so that its next run goes to
-    /// another instance if possible, and confines the task's queue if the task is the cause.
+    /// another instance if possible.
     pub(super) fn note_crash(&mut self, id: AgentId, key: TaskKey, suspicion: Suspicion) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let queue = job.queue.clone();
+        let queue = job.queue_id;
         let Some(task) = job.task_mut(key) else {
             return;
         };
         task.avoid_agent = Some(id);
-        task.strong_crashes += u32::from(suspicion == Suspicion::Strong);
-        let crashes = task.strong_crashes;
-        if self.containment.note_crashes(self.now, &queue, crashes) {
+        if suspicion == Suspicion::Strong {
+            task.strong_crashes += 1;
+            self.note_suspect(id, CrashSuspect { task: key, queue });
+        }
+    }
+
+    /// Notes the tasks of all dispatchers that are strongly suspected to have crashed an agent's
+    /// instance.
+    pub fn note_suspects(&mut self, now: Instant, id: AgentId, suspects: &[CrashSuspect]) {
+        self.advance(now);
+        for suspect in suspects {
+            self.note_suspect(id, *suspect);
+        }
+    }
+
+    /// Confines the queue of a task that several instances have crashed under.
+    fn note_suspect(&mut self, id: AgentId, suspect: CrashSuspect) {
+        let CrashSuspect { task, queue } = suspect;
+        if self.containment.note_suspect(self.now, queue, task, id) {
             self.update_reserved_agents();
-            let change = ConfinementChange::Confined { queue, task: key };
+            let queue = self.queue_name(queue);
+            let change = ConfinementChange::Confined { queue, task };
             self.confinement_changes.push(change);
         }
     }
@@ -64,24 +84,44 @@
         if !self.containment.is_active() {
             return;
         }
+        let agents = &self.agents;
+        let is_present = |id: AgentId| agents.get(&id).is_some_and(|a| a.instance.is_some());
+        let ended = self.containment.expire(self.now, is_present);
         self.update_reserved_agents();
-        for queue in self.containment.expire(self.now) {
+        for queue in ended {
+            let queue = self.queue_name(queue);
             self.confinement_changes
                 .push(ConfinementChange::Released { queue });
             self.placement_due = true;
         }
     }
 
-    /// Takes the changes of confined queues since the last call, for logs and metrics.
-    pub fn take_confinement_changes(&mut self) -> Vec<ConfinementChange> {
-        std::mem::take(&mut self.confinement_changes)
+    /// Name of a queue; empty if the queue has been removed from the configuration.
+    fn queue_name(&self, id: QueueId) -> String {
+        let mut names = self.queues.keys();
+        let name = names.find(|name| QueueId::of(name) == id);
+        name.cloned().unwrap_or_default()
     }
 
     fn update_reserved_agents(&mut self) {
-        let agents = self.agents.iter();
-        let agents = agents.filter(|(_, agent)| agent.session.is_some());
-        let of_service = agents.filter_map(|(id, agent)| Some((agent.last_service()?, *id)));
-        self.containment.update_reserved(of_service);
+        let mut agents: BTreeMap<&str, Vec<AgentId>> = BTreeMap::new();
+        for (id, agent) in &self.agents {
+            if let (Some(_), Some(service)) = (agent.session, agent.last_service()) {
+                agents.entry(service).or_default().push(*id);
+            }
+        }
+        let queues = &self.queues;
+        let service_of = |id: QueueId| {
+            let mut queues = queues.values();
+            let queue = queues.find(|queue| QueueId::of(&queue.name) == id);
+            queue.map(|queue| queue.service.clone())
+        };
+        self.containment.update_reserved(&agents, service_of);
+    }
+
+    /// Takes the changes of confined queues since the last call, for logs and metrics.
+    pub fn take_confinement_changes(&mut self) -> Vec<ConfinementChange> {
+        std::mem::take(&mut self.confinement_changes)
     }
 
     /// Whether a task of the job may be placed at the agent, as far as crashes are concerned. Of a
@@ -106,8 +146,8 @@
             let mut runs = agent.into_iter().flat_map(|agent| agent.runs.keys());
             runs.any(|run| run.job != key.job && is_suspect(run))
         };
-        self.containment.allows(&job.service, &job.queue, id)
-            && !(self.containment.is_confined(&job.queue)
+        self.containment.allows(job.queue_id, id)
+            && !(self.containment.is_confined(job.queue_id)
                 && is_suspect(&key)
                 && runs_other_suspect())
     }
@@ -115,10 +155,11 @@
     /// Expected time until an instance is back, if all instances that could run the queue's tasks
     /// are known to have exited; `None` if any is there, or if nothing is known.
     pub(super) fn expected_outage_ms(&self, queue: &Queue) -> Option<u64> {
+        let queue_id = QueueId::of(&queue.name);
         let of_queue = |(id, agent): &(&AgentId, &Agent)| {
             agent.session.is_some()
                 && agent.last_service() == Some(queue.service.as_str())
-                && self.containment.allows(&queue.service, &queue.name, **id)
+                && self.containment.allows(queue_id, **id)
         };
         let mut soonest_ms = None;
         for (_, agent) in self.agents.iter().filter(of_queue) {
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -24,7 +24,7 @@
 use crate::estimate::MAX_OVERESTIMATE_FACTOR;
 use crate::instance::Agent;
 use crate::job::{Job, Policy, Step, Task, TaskState, spec_critical_path_ms};
-use crate::order::SessionId;
+use crate::order::{QueueId, SessionId};
 use crate::rack_demand::RackDemand;
 use crate::ranking::{Rank, Timeliness, assess_timeliness};
 use crate::settings::DispatchSettings;
@@ -219,6 +219,7 @@
         let service = self.queues.get(queue).map(|queue| queue.service.clone());
         let job = Job {
             queue: queue.to_owned(),
+            queue_id: QueueId::of(queue),
             service: service.unwrap_or_else(|| open.service.clone()),
             priority: policy.priority,
             payload: open.spec.payload.clone(),
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -201,7 +201,7 @@
         task.last_run = run;
         job.set_state(key, TaskState::Running(id, run));
         job.started = true;
-        let payload = job.payload.clone();
+        let (queue, payload) = (job.queue_id, job.payload.clone());
         let Some(agent) = self.agents.get_mut(&id) else {
             return;
         };
@@ -226,6 +226,7 @@
         agent.starts.push(StartOrder {
             task: key,
             run,
+            queue,
             payload,
             needs,
             urgency,
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -6,6 +6,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
+use crate::order::QueueId;
 use crate::ranking::Rank;
 
 /// State of a task.
@@ -83,6 +84,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) queue: String,
+    pub(crate) queue_id: QueueId,
     pub(crate) service: String,
     pub(crate) priority: u32,
     pub(crate) payload: Bytes,
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -36,8 +36,9 @@
         AdmissionError, ConfinementChange, Dispatcher, JobStage, RejectionCause, Withdrawal,
     };
     pub use crate::order::{
-        EndAction, Inventory, LoadReport, Order, REPORTED_ENDS, RefusalReason, RunEnd, RunReport,
-        SessionId, StartOrder, StopOrder, URGENCY_LEVELS, Urgency, WITHHOLDS_ALL,
+        CrashSuspect, EndAction, Inventory, LoadReport, Order, QueueId, REPORTED_ENDS,
+        RefusalReason, RunEnd, RunReport, SessionId, StartOrder, StopOrder, URGENCY_LEVELS,
+        Urgency, WITHHOLDS_ALL,
     };
     pub use crate::settings::{CapacitySource, DispatchSettings, longest_lease};
     pub use crate::size_refusal::RelativeSize;
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -1,5 +1,7 @@
 //! Messages between the dispatcher and the agents.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use bytes::Bytes;
 use derive_more::{Display, From, Into};
 use hemlock_jobs::prelude::*;
@@ -23,6 +25,28 @@
 )]
 pub struct SessionId(pub u64);
 
+/// Identifies a queue to processes that don't know its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct QueueId(u64);
+
+impl QueueId {
+    /// The id of the queue with the given name.
+    pub fn of(name: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+/// A task that is strongly suspected to have crashed an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashSuspect {
+    /// The task.
+    pub task: TaskKey,
+    /// The queue of its job.
+    pub queue: QueueId,
+}
+
 /// How a run ended at its instance.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RunEnd {
@@ -81,6 +105,8 @@
     pub task: TaskKey,
     /// The number of the run.
     pub run: RunNumber,
+    /// The queue of the job.
+    pub queue: QueueId,
     /// The job's payload, which is passed to the task.
     pub payload: Bytes,
     /// Capacity that the run takes at the instance.
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -379,6 +379,7 @@
         let (agent, session) = (update.agent, update.session);
         self.handle_report(now, agent, session, &update.report);
         if let Some(changed) = update.instance {
+            self.dispatcher.note_suspects(now, agent, &changed.suspects);
             self.dispatcher.instance_changed(
                 now,
                 agent,
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -309,4 +309,6 @@
     pub instance: Option<InstanceReport>,
     /// Whether all previous runs are lost. Each of their ends is also reported separately.
     pub runs_lost: bool,
+    /// Tasks of all owners that are strongly suspected to have crashed the instance.
+    pub suspects: Vec<CrashSuspect>,
 }
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::{InstanceReport, SessionId};
+use hemlock_dispatch::prelude::{CrashSuspect, InstanceReport, SessionId};
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -123,11 +123,13 @@
         self: &Rc<Self>,
         instance: Option<&InstanceReport>,
         runs_lost: bool,
+        suspects: &[CrashSuspect],
     ) {
         for gateway in self.gateways.in_session() {
             let update = InstanceUpdate {
                 instance: instance.cloned(),
                 runs_lost,
+                suspects: suspects.to_vec(),
             };
             self.send_update(gateway, Report::default(), Some(update));
         }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -17,7 +17,7 @@
 use hemlock_wire::prelude::*;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::connector::{Connector, Seeds};
 use crate::evacuations::log_evacuations;
@@ -226,7 +226,12 @@
             InstanceChange::RunsLost => true,
         };
         let instance = self.runs.borrow().instance().cloned();
-        self.send_instance_to_gateways(instance.as_ref(), runs_lost);
+        let suspects = self.runs.borrow_mut().take_crash_suspects();
+        if runs_lost && !suspects.is_empty() {
+            let tasks: Vec<String> = suspects.iter().map(|s| s.task.to_string()).collect();
+            warn!(event = "crash-suspects", tasks = ?tasks);
+        }
+        self.send_instance_to_gateways(instance.as_ref(), runs_lost, &suspects);
         let session = self.runs.borrow().session(Owner::Leader);
         if let Some(session) = session.filter(|_| self.leader_adopted.get()) {
             let request = Request::InstanceChanged(self.agent, session, instance, runs_lost);
--- a/crates/hemlock_nodes/src/update_queue.rs
+++ b/crates/hemlock_nodes/src/update_queue.rs
@@ -22,8 +22,9 @@
         self.report.refused.extend(later.report.refused);
         self.instance = match (self.instance.take(), later.instance) {
             (Some(earlier), Some(later)) => Some(InstanceUpdate {
+                instance: later.instance,
                 runs_lost: earlier.runs_lost || later.runs_lost,
-                ..later
+                suspects: [earlier.suspects, later.suspects].concat(),
             }),
             (earlier, later) => later.or(earlier),
         };
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -211,6 +211,7 @@
             instance: instance_lost.then(|| InstanceUpdate {
                 instance: side.runs.instance().cloned(),
                 runs_lost: true,
+                suspects: side.runs.take_crash_suspects(),
             }),
         };
         self.engine.handle_update(self.now, update);
--- a/crates/hemlock_nodes/tests/update_queue.rs
+++ b/crates/hemlock_nodes/tests/update_queue.rs
@@ -31,6 +31,7 @@
     PendingUpdate {
         report: Report::default(),
         instance: Some(InstanceUpdate {
+            suspects: Vec::new(),
             instance: None,
             runs_lost,
         }),
--- a/crates/hemlock_runs/src/runs/crashes.rs
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use hemlock_dispatch::prelude::{RefusalReason, RunEnd, RunReport};
+use hemlock_dispatch::prelude::{CrashSuspect, RefusalReason, RunEnd, RunReport};
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::Instant;
 
@@ -23,6 +23,8 @@
     /// Runs that ended when the instance had been silent for too long. A restart of the instance
     /// shows that it crashed.
     silent: Vec<(Option<Owner>, RunReport)>,
+    /// Strongly suspected tasks of the latest crash, until they are taken.
+    suspects: Vec<CrashSuspect>,
 }
 
 impl CrashReports {
@@ -63,6 +65,9 @@
                 Loss::Exit if !is_leaving => end_by_exit(now, &tracked, youngest_ms),
                 Loss::Exit | Loss::Silent => RunEnd::Lapsed,
             };
+            if let (RunEnd::Crashed(Suspicion::Strong), Some(queue)) = (end, tracked.queue) {
+                self.crashes.suspects.push(CrashSuspect { task, queue });
+            }
             let report = RunReport {
                 task,
                 run: tracked.run,
@@ -77,6 +82,11 @@
         self.refuse_queue(RefusalReason::NoInstance);
     }
 
+    /// Takes the strongly suspected tasks of the crashes since the last call.
+    pub fn take_crash_suspects(&mut self) -> Vec<CrashSuspect> {
+        std::mem::take(&mut self.crashes.suspects)
+    }
+
     /// Forgets the runs of an instance that fell silent, because it has not crashed.
     pub(super) fn forget_silent_runs(&mut self) {
         self.crashes.silent.clear();
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -230,6 +230,7 @@
     TrackedRun {
         owner: None,
         run,
+        queue: None,
         needs: None,
         expected_ms: 0,
         stall_after_ms: 0,
--- a/crates/hemlock_runs/src/tracked_run.rs
+++ b/crates/hemlock_runs/src/tracked_run.rs
@@ -1,6 +1,6 @@
 //! State that the agent keeps for one run, or for one start in its queue.
 
-use hemlock_dispatch::prelude::{StartOrder, Urgency};
+use hemlock_dispatch::prelude::{QueueId, StartOrder, Urgency};
 use hemlock_jobs::prelude::{Resources, RunNumber, TaskKey};
 use hemlock_types::ids::Incarnation;
 use hemlock_types::time::{DurationMs, Instant};
@@ -45,6 +45,8 @@
     /// `None` until an owner claims the run, if an earlier process of this agent started it.
     pub(crate) owner: Option<Owner>,
     pub(crate) run: RunNumber,
+    /// The queue of the job; `None` if an earlier process of this agent started the run.
+    pub(crate) queue: Option<QueueId>,
     /// Resources that the run occupies; `None` until the run is claimed, as for the owner.
     pub(crate) needs: Option<Resources>,
     /// Expected duration in milliseconds; zero if unknown.
--- a/crates/hemlock_runs/tests/harness/mod.rs
+++ b/crates/hemlock_runs/tests/harness/mod.rs
@@ -194,6 +194,7 @@
     StartOrder {
         task: task(job),
         run: RunNumber(run),
+        queue: QueueId::of("searches"),
         payload: Bytes::from_static(b"work"),
         needs: needs(cpu_milli),
         urgency: Urgency {
