Start nothing at an instance that is over its capacity

Seen in tests: a runner, and a leader, end with a failed assertion when an instance's capacity shrinks in one resource below what runs there and a task that needs none of that resource is to start.

Cause: the free amount was the capacity minus what is used, at least zero, and zero is enough for a task that needs none. The assertion that no start exceeds the capacity then failed.

Change: a start needs a capacity that holds all runs and the new one. Load reports name nothing as free while an instance is over its capacity.

--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -193,6 +193,12 @@
         self.withheld_percent == 0 || is_idle || self.free().fits(needs)
     }
 
+    /// Whether the runs of this dispatcher fit the instance's capacity.
+    pub(crate) fn is_within_capacity(&self) -> bool {
+        let instance = self.instance.as_ref();
+        instance.is_some_and(|instance| instance.capacity.fits(&self.used))
+    }
+
     /// Free capacity of the instance for new starts, as far as is known.
     pub(crate) fn free(&self) -> Resources {
         let capacity = self.instance.as_ref().map(|instance| instance.capacity);
--- a/crates/hemlock_dispatch/src/placement.rs
+++ b/crates/hemlock_dispatch/src/placement.rs
@@ -117,6 +117,8 @@
         return false;
     }
     match source {
+        // The capacity may have shrunk below what runs there.
+        CapacitySource::Local if !agent.is_within_capacity() => false,
         // A cold instance that was not ruled out above has a place for the task.
         CapacitySource::Local if agent.withheld_percent > 0 => fits_when_idle(),
         CapacitySource::Local => agent.free().fits(&request.needs),
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -355,3 +355,23 @@
         "the declared duration may be twice the true one"
     );
 }
+
+/// Guards against a leader that ends because an instance's capacity shrank below what runs there, and
+/// a task needs none of the exceeded resource.
+#[test]
+fn an_instance_that_shrank_below_its_runs_gets_no_tasks() {
+    let mut fixture = Fixture::new(1);
+    let accelerated = |accelerators| {
+        let mut spec = job(1, 6_000, 60);
+        spec.steps[0].needs.accelerators = accelerators;
+        spec
+    };
+    fixture.set_accelerators(0, 2);
+    fixture.submit(1, accelerated(2));
+    assert_eq!(fixture.poll().len(), 1);
+    fixture.set_accelerators(0, 1);
+    fixture.submit(2, accelerated(0));
+    assert_eq!(fixture.poll(), vec![]);
+    fixture.set_accelerators(0, 2);
+    assert_eq!(fixture.poll().len(), 1);
+}
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -479,7 +479,7 @@
     /// The instance's load and free capacity, as an owner needs them for further orders.
     pub fn load_report(&self, now: Instant, owner: Owner) -> LoadReport {
         let free = match (self.instance(), self.has_unclaimed()) {
-            (Some(instance), false) => instance
+            (Some(instance), false) if instance.capacity.fits(&self.used) => instance
                 .capacity
                 .saturating_sub(&self.used)
                 .saturating_sub(&self.queued_needs),
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -118,20 +118,26 @@
     }
 
     fn has_free_capacity(&self, needs: &Resources) -> bool {
+        let mut total = self.used;
+        total.add(needs);
         self.instance()
-            .is_some_and(|instance| instance.capacity.saturating_sub(&self.used).fits(needs))
+            .is_some_and(|instance| instance.capacity.fits(&total))
     }
 
     /// Refuses every queued start and reports that to its owner.
     pub(super) fn refuse_queue(&mut self, reason: RefusalReason) {
         let tasks: Vec<TaskKey> = self.queued.keys().copied().collect();
         for task in tasks {
-            if let Some(queued) = self.dequeue(task) {
-                let run = queued.order.run;
-                let refused = RefusedStart { task, run, reason };
-                self.outbox
-                    .push((queued.owner, RunOutcome::Refused(refused)));
-            }
+            self.refuse_queued(task, reason);
+        }
+    }
+
+    fn refuse_queued(&mut self, task: TaskKey, reason: RefusalReason) {
+        if let Some(queued) = self.dequeue(task) {
+            let run = queued.order.run;
+            let refused = RefusedStart { task, run, reason };
+            self.outbox
+                .push((queued.owner, RunOutcome::Refused(refused)));
         }
     }
 
