Refuse queued starts that a shrunk instance can't run

Seen in a test: after the capacity of an instance has shrunk below the needs of the most urgent queued start, nothing that waits behind it is started, although there is room.

Cause: a start that doesn't fit blocks those behind it, so that small tasks don't starve large ones. A start that fits no more, however idle the instance is, blocked them until the capacity grew again.

Change: a heartbeat with a smaller capacity refuses such starts, so that their owners place them elsewhere.

Evidence: a_queued_start_that_a_shrunk_instance_can_not_run_is_refused failed before and passes now.

--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -575,6 +575,7 @@
         self.instance = Some(heartbeat.instance);
         self.note_cold_left(now, heartbeat.cold_left_ms);
         self.refuse_queue_if_evacuated();
+        self.refuse_oversized_starts();
         if draining {
             self.refuse_queue(RefusalReason::NoInstance);
         }
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -124,6 +124,20 @@
             .is_some_and(|instance| instance.capacity.fits(&total))
     }
 
+    /// Refuses the queued starts that the instance can't run any more, however idle it is, because
+    /// its capacity has shrunk. They would block those behind them.
+    pub(super) fn refuse_oversized_starts(&mut self) {
+        let Some(capacity) = self.instance.as_ref().map(|instance| instance.capacity) else {
+            return;
+        };
+        let queued = self.queued.iter();
+        let oversized = queued.filter(|(_, queued)| !capacity.fits(&queued.order.needs));
+        let tasks: Vec<TaskKey> = oversized.map(|(task, _)| *task).collect();
+        for task in tasks {
+            self.refuse_queued(task, RefusalReason::NoRoom);
+        }
+    }
+
     /// Refuses every queued start and reports that to its owner.
     pub(super) fn refuse_queue(&mut self, reason: RefusalReason) {
         let tasks: Vec<TaskKey> = self.queued.keys().copied().collect();
--- a/crates/hemlock_runs/tests/shrinking_capacity.rs
+++ b/crates/hemlock_runs/tests/shrinking_capacity.rs
@@ -51,6 +51,35 @@
     assert_eq!(started(&calls), vec![task(2)]);
 }
 
+/// Guards against a queued start that no longer fits the instance and blocks all behind it.
+#[test]
+fn a_queued_start_that_a_shrunk_instance_can_not_run_is_refused() {
+    let mut harness = Harness::new();
+    harness.attach(GATEWAY, 1, &[]);
+    harness.start(GATEWAY, 1, 1, 50_000);
+    let starts = vec![start(2, 1, 40_000), start(3, 1, 6_000)];
+    let (calls, refused) = harness.order(GATEWAY, 1, starts, vec![]);
+    assert_eq!((started(&calls), refused), (vec![], vec![]));
+    harness.runs.take_outbox();
+    set_capacity(&mut harness, 10, room(32_000, 0));
+    let reason = RefusalReason::NoRoom;
+    let run = RunNumber(1);
+    let refused = RefusedStart {
+        task: task(2),
+        run,
+        reason,
+    };
+    let expected = vec![(GATEWAY, RunOutcome::Refused(refused))];
+    assert_eq!(harness.runs.take_outbox(), expected);
+    harness.model.end(task(1), RunEnd::Done);
+    let call = harness.list_call();
+    let listing = harness.model.list(&call).expect("the token is current");
+    let (_, calls) = harness
+        .runs
+        .handle_listing(harness.now, harness.now, &listing);
+    assert_eq!(started(&calls), vec![task(3)]);
+}
+
 /// Guards against a process that ends because a start that needs none of the exceeded resource is
 /// carried out at an instance over its capacity.
 #[test]
