Don't retry a request that has lost two endpoints

Seen in a test: one idempotent request of the first stack takes down 11 endpoints, one after the other.

Retries after a lost connection are limited by the contract's budget alone, which other requests fill, and not by request.

Change: a task whose endpoint, or the connection to it, was lost twice ends with that failure.

--- a/crates/hemlock_router/src/router/admit.rs
+++ b/crates/hemlock_router/src/router/admit.rs
@@ -239,6 +239,7 @@
             hedge: None,
             last_endpoint: None,
             refusals: 0,
+            losses: 0,
             may_have_run: false,
         }
     }
--- a/crates/hemlock_router/src/router/settle.rs
+++ b/crates/hemlock_router/src/router/settle.rs
@@ -12,6 +12,8 @@
 
 /// Lowest HTTP status that reports a server error.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
+/// Number of lost endpoints after which a task is taken to be the cause and isn't retried.
+const MAX_LOSSES: u8 = 2;
 /// Pause during which an endpoint that refused or lost a start gets no work, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 5;
 
@@ -252,8 +254,11 @@
         let Some(work) = self.works.get_mut(start.task.work) else {
             return;
         };
-        work.task_mut(start.task.task).may_have_run = true;
-        let may_resend = work.may_resend() && now < work.deadline;
+        let task = work.task_mut(start.task.task);
+        task.may_have_run = true;
+        task.losses = task.losses.saturating_add(u8::from(is_loss(&outcome)));
+        let crashes_endpoints = task.losses >= MAX_LOSSES;
+        let may_resend = work.may_resend() && now < work.deadline && !crashes_endpoints;
         let retries = &mut self.contracts.state_mut(start.contract).retries;
         match other {
             Some(_) => {}
@@ -266,6 +271,14 @@
     }
 }
 
+/// Whether the endpoint may have crashed under the run.
+fn is_loss(outcome: &Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Failed(FailureKind::ConnectionLost | FailureKind::EndpointLost)
+    )
+}
+
 /// Detaches a start from its task; returns the task's other copy if it is in flight.
 pub(super) fn detach(work: &mut Work, start: &InFlightStart, key: StartKey) -> Option<StartKey> {
     let task = work.task_mut(start.task.task);
--- a/crates/hemlock_router/src/work.rs
+++ b/crates/hemlock_router/src/work.rs
@@ -72,6 +72,8 @@
     pub last_endpoint: Option<EndpointKey>,
     /// Number of its starts that gates refused.
     pub refusals: u8,
+    /// Number of its starts that ended with the loss of their endpoint or of the connection to it.
+    pub losses: u8,
     /// Set when a start of it ran or may have run.
     pub may_have_run: bool,
 }
--- a/crates/hemlock_router/tests/decisions.rs
+++ b/crates/hemlock_router/tests/decisions.rs
@@ -308,6 +308,30 @@
     );
 }
 
+/// Guards against a request that takes down one endpoint after the other, because the retry budget of
+/// its contract pays for each.
+#[test]
+fn a_request_whose_endpoints_are_lost_is_not_retried_without_bound() {
+    let mut site = site(8);
+    load(&mut site, CUSTOMER, 200, 10);
+    site.agents_answer = false;
+    let sent_before = site.starts.len();
+    let call = site.submit(CUSTOMER);
+    let mut losses = 0;
+    while let Some((agent, spec)) = site.starts.get(sent_before + losses).cloned() {
+        losses += 1;
+        let (request, loss) = (spec.request, LossKind::AfterSending);
+        site.handle(Event::StartLost {
+            agent,
+            request,
+            loss,
+        });
+    }
+    assert!(losses <= 2, "{losses} endpoints were lost");
+    let lost = CallResult::Failed(FailureKind::ConnectionLost);
+    assert_eq!(site.result(call), Some(&lost));
+}
+
 #[test]
 fn a_lost_start_of_a_submission_is_sent_to_the_same_agent_again() {
     let mut site = site(3);
