--- a/crates/hemlock_runs/tests/simulation/mod.rs
+++ b/crates/hemlock_runs/tests/simulation/mod.rs
@@ -1,4 +1,5 @@
-//! Simulation of gateways, runners and instances, with late and lost messages.
+//! Simulation of gateways, runners and instances, with late and lost messages, tasks that crash their
+//! instances, and instances whose capacity shrinks and grows.
 
 mod evacuations;
 mod faults;
@@ -27,6 +28,11 @@
 const RUNNER_COUNT: u64 = 4;
 /// Interval between a gateway's pings, in milliseconds.
 const PING_MS: u64 = 250;
+/// Run time after which a deadly task crashes its instance, in milliseconds.
+const DEADLY_AFTER_MS: u64 = 10;
+/// Most crashes of one task that one gateway may cause. The task is given up after three; reports of two
+/// may be lost with the processes of runners.
+const MAX_CRASHES: u32 = 5;
 /// Interval between a runner's listings, in milliseconds.
 const LISTING_MS: u64 = 20;
 
@@ -53,6 +59,11 @@
     }
 }
 
+/// Whether a task of the job crashes each instance that starts it.
+fn is_deadly(id: JobId) -> bool {
+    id.0.is_multiple_of(53)
+}
+
 /// A message between a gateway and a runner. A connection delivers messages in order.
 enum Message {
     Attach(SessionId, Vec<Claim>),
@@ -98,6 +109,8 @@
     delayed_calls: Vec<(u64, DriverCall)>,
     /// End of the time in which the instance is slow.
     cold_until_ms: u64,
+    /// The instance's capacity, which shrinks and grows.
+    capacity: Resources,
 }
 
 /// The simulated processes, their connections and the open jobs.
@@ -118,6 +131,8 @@
     /// Id of the next new job; `u64::MAX` if no more jobs are submitted.
     next_job: u64,
     last_unique_number: u64,
+    /// Crashes by task and by the gateway process that started it.
+    crashes: BTreeMap<(TaskKey, Incarnation), u32>,
     pub(crate) submitted: u64,
     pub(crate) ended: u64,
 }
@@ -144,6 +159,7 @@
             evacuations: Evacuations::default(),
             next_job: 1,
             last_unique_number: 1,
+            crashes: BTreeMap::new(),
             submitted: 0,
             ended: 0,
         };
@@ -223,6 +239,7 @@
             unresponsive_until_ms: 0,
             delayed_calls: Vec::new(),
             cold_until_ms: 0,
+            capacity: CAPACITY,
         }
     }
 
@@ -287,7 +304,7 @@
     }
 }
 
-fn instance(index: u64, born_ms: u64) -> InstanceReport {
+fn instance(index: u64, born_ms: u64, capacity: Resources) -> InstanceReport {
     InstanceReport {
         id: InstanceId {
             name: format!("i-{index}"),
@@ -295,7 +312,7 @@
         },
         service: "s".to_owned(),
         failure_domain: evacuations::domain_of(index),
-        capacity: CAPACITY,
+        capacity,
         labels: Vec::new(),
         draining: false,
     }
--- a/crates/hemlock_runs/tests/simulation/runners.rs
+++ b/crates/hemlock_runs/tests/simulation/runners.rs
@@ -3,9 +3,13 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_runs::prelude::*;
+use hemlock_standin::InstanceModel;
 use rand::RngExt;
 
-use super::{GATEWAY_COUNT, LISTING_MS, Message, STEP_MS, Simulation, instance, work_ms};
+use super::{
+    CAPACITY, DEADLY_AFTER_MS, GATEWAY_COUNT, LISTING_MS, MAX_CRASHES, Message, STEP_MS,
+    Simulation, instance, is_deadly, needs, work_ms,
+};
 
 impl Simulation {
     /// Ends the tasks that are due and executes the delayed calls that are due.
@@ -23,6 +27,14 @@
             })
             .map(|(task, _)| *task)
             .collect();
+        let deadly = runner.model.running().iter().find(|(task, run)| {
+            is_deadly(task.job) && task.index == 0 && clock_ms >= run.began_ms + DEADLY_AFTER_MS
+        });
+        let deadly = deadly.map(|(task, _)| *task).filter(|_| self.faults);
+        if let Some(task) = deadly {
+            self.crash_instance(index, task);
+            return;
+        }
         for task in due {
             let end = if fails { RunEnd::Failed } else { RunEnd::Done };
             runner.model.end(task, end);
@@ -39,6 +51,26 @@
         }
     }
 
+    /// Restarts an instance that a task has crashed. The runner finds its process gone.
+    fn crash_instance(&mut self, index: u64, task: TaskKey) {
+        let now = self.now();
+        let born_ms = self.next_unique_number();
+        let runner = &mut self.runners[index as usize];
+        runner.model = InstanceModel::new(born_ms);
+        runner.delayed_calls.clear();
+        if let Some(gateway) = self.open_jobs.get(&task.job) {
+            let gateway = self.gateways[*gateway as usize].incarnation;
+            let crashes = self.crashes.entry((task, gateway)).or_default();
+            *crashes += 1;
+            assert!(
+                *crashes <= MAX_CRASHES,
+                "task {task} of {gateway:?} has crashed {crashes} instances"
+            );
+        }
+        let change = runner.runs.instance_lost(now);
+        self.report_instance_change(index, change);
+    }
+
     /// Sends heartbeats and listings that are due, and makes the calls that follow from them.
     pub(super) fn step_runner(&mut self, index: u64) {
         let now = self.now();
@@ -52,12 +84,17 @@
         let unresponsive =
             self.faults && self.now_ms < self.runners[index as usize].unresponsive_until_ms;
         let answer_lost = unresponsive || self.chance(20);
+        let shrinks = self.chance(100);
         let runner = &mut self.runners[index as usize];
         if now_ms >= runner.next_heartbeat_ms {
             runner.next_heartbeat_ms = now_ms + 500;
             runner.heartbeat_count += 1;
+            runner.capacity = match shrinks {
+                true => CAPACITY.percent(50),
+                false => CAPACITY,
+            };
             let heartbeat = Heartbeat {
-                instance: instance(index, runner.model.born_ms),
+                instance: instance(index, runner.model.born_ms, runner.capacity),
                 clock_ms: runner.model.clock_ms,
                 sequence: runner.heartbeat_count,
                 cold_left_ms: runner.cold_until_ms.saturating_sub(now_ms),
@@ -145,6 +182,12 @@
                 }
                 DriverCall::Start(call) => {
                     let result = runner.model.start(&call);
+                    let used = runner.model.used(|_| needs());
+                    assert!(
+                        result != StartResult::Started || runner.capacity.fits(&used),
+                        "the start of {} exceeds the reported capacity",
+                        call.task
+                    );
                     runner.runs.start_answered(now, &call, result)
                 }
                 DriverCall::Stop(call) => {
