Reserve no instance that is gone for good for a confined queue

Seen in a test: a queue whose reserved instances crash and never come back stays confined to them, so none of its jobs is served any more.

Cause: time in which all reserved instances are gone doesn't count towards the end of a confinement, and agents whose instance had been gone for any time could be reserved.

Change: an instance that has been gone for 10 s isn't reserved; another one takes its place.

Evidence: a_confined_queue_leaves_instances_that_are_gone_for_good failed before and passes now.

--- a/crates/hemlock_dispatch/src/dispatcher/crashes.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/crashes.rs
@@ -12,6 +12,8 @@
 /// Divisor of the time since a crash that gives the expected rest of an outage that lasts longer
 /// than the one before.
 const OVERDUE_OUTAGE_DIVISOR: u64 = 4;
+/// Time after which an instance that crashed counts as gone for good.
+const LONGEST_OUTAGE: DurationMs = DurationMs::new(10_000);
 
 /// A change of the queues that are confined to a part of the instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -105,9 +107,17 @@
 
     fn update_reserved_agents(&mut self) {
         let mut agents: BTreeMap<&str, Vec<AgentId>> = BTreeMap::new();
+        // An instance that is gone for good must not be reserved.
+        let may_return = |agent: &Agent| {
+            let exited_at = agent.exited_at;
+            agent.instance.is_some() || exited_at.is_some_and(|at| self.now < at + LONGEST_OUTAGE)
+        };
         for (id, agent) in &self.agents {
-            if let (Some(_), Some(service)) = (agent.session, agent.last_service()) {
-                agents.entry(service).or_default().push(*id);
+            match (agent.session, agent.last_service()) {
+                (Some(_), Some(service)) if may_return(agent) => {
+                    agents.entry(service).or_default().push(*id);
+                }
+                _ => {}
             }
         }
         let queues = &self.queues;
--- a/crates/hemlock_dispatch/tests/crashes.rs
+++ b/crates/hemlock_dispatch/tests/crashes.rs
@@ -195,3 +195,19 @@
     }
     assert_eq!(fixture.dispatcher.take_confinement_changes(), vec![]);
 }
+
+/// Guards against a queue that is confined for good to instances that never come back.
+#[test]
+fn a_confined_queue_leaves_instances_that_are_gone_for_good() {
+    let (mut fixture, reserved) = confined();
+    for agent in &reserved {
+        fixture.set_instance(*agent, None);
+    }
+    for _ in 0..130 {
+        fixture.advance_ms(100);
+    }
+    fixture.submit(3, job(10, 6_000, 60));
+    let agents: BTreeSet<u64> = fixture.poll().iter().map(|(agent, _)| *agent).collect();
+    assert!(!agents.is_empty());
+    assert!(agents.is_disjoint(&reserved));
+}
