Fail a resubmitted job that has crashed instances through another gateway

Seen in a test: a job that is submitted again to another gateway, or after its gateway has died, crashes further instances, because each gateway counts for itself.

Change: the suspicions that runners tell all gateways are looked up when a job is submitted. If two instances crashed lately under strong suspicion of one of its tasks, the answer is that it has failed.

Evidence: a_job_that_crashed_instances_through_another_gateway_has_failed. A gateway that starts later has no such knowledge; this remains.

--- a/crates/hemlock_dispatch/src/containment.rs
+++ b/crates/hemlock_dispatch/src/containment.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use hemlock_jobs::prelude::{AgentId, TaskKey};
+use hemlock_jobs::prelude::{AgentId, JobId, TaskKey};
 use hemlock_types::time::{DurationMs, Instant};
 
 use crate::order::QueueId;
@@ -65,13 +65,7 @@
         while self.evidence.front().is_some_and(is_old) {
             self.evidence.pop_front();
         }
-        let of_task = |evidence: &&Evidence| evidence.task == task;
-        let agents: BTreeSet<AgentId> = self
-            .evidence
-            .iter()
-            .filter(of_task)
-            .map(|evidence| evidence.agent)
-            .collect();
+        let agents = self.suspecting_agents(task);
         if agents.contains(&agent) {
             return false;
         }
@@ -90,6 +84,23 @@
         }
     }
 
+    /// The agents whose instances crashed lately under strong suspicion of the task.
+    fn suspecting_agents(&self, task: TaskKey) -> BTreeSet<AgentId> {
+        let of_task = self.evidence.iter();
+        let of_task = of_task.filter(|evidence| evidence.task == task);
+        of_task.map(|evidence| evidence.agent).collect()
+    }
+
+    /// Whether several instances have crashed lately under strong suspicion of one task of the job.
+    pub(crate) fn is_crashing(&self, now: Instant, job: JobId) -> bool {
+        let recent = self.evidence.iter();
+        let mut recent = recent.filter(|evidence| now <= evidence.at + EVIDENCE_RETENTION);
+        recent.any(|evidence| {
+            let task = evidence.task;
+            task.job == job && self.suspecting_agents(task).len() >= CONFINING_CRASHES
+        })
+    }
+
     /// Ends the confinements whose time is over, and returns their queues. Time in which all
     /// reserved instances of a queue are gone doesn't count.
     pub(crate) fn expire(
--- a/crates/hemlock_dispatch/src/dispatcher/crashes.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/crashes.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Whether a job that is submitted again has crashed several instances, perhaps through another
+    /// dispatcher, so that it must be given up.
+    pub fn is_crashing(&self, now: Instant, id: JobId) -> bool {
+        self.containment.is_crashing(now, id)
+    }
+
     /// Confines the queue of a task that several instances have crashed under.
     fn note_suspect(&mut self, id: AgentId, suspect: CrashSuspect) {
         let CrashSuspect { task, queue } = suspect;
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -6,7 +6,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 use tokio::sync::oneshot;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::confinement::log_confinement_changes;
 use crate::message::{CallerAnswer, Rejection, Report, RunnerUpdate};
@@ -145,6 +145,10 @@
             Some(None) => return Ok(self.wait_for(now, id, answer_deadline)),
             None => {}
         }
+        if self.dispatcher.is_crashing(now, id) {
+            warn!(event = "job-failed-before", job = %id, queue = queue.name);
+            return Err(CallerAnswer::Finished(JobOutcome::Failed));
+        }
         if let Err(refusal) =
             self.dispatcher
                 .admit(now, queue, &spec, Some(answer_deadline.since(now)))
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -336,3 +336,32 @@
     let most = fleet.crashes.values().max();
     assert!(most <= Some(&MAX_CRASHES), "{most:?} crashes of one task");
 }
+
+/// Guards against a job that crashes two instances through each gateway that it is submitted to.
+#[test]
+fn a_job_that_crashed_instances_through_another_gateway_has_failed() {
+    let mut fleet = Fleet::new();
+    let task = fleet.mark_deadly(1);
+    let suspect = CrashSuspect {
+        task,
+        queue: QueueId::of(SEARCHES),
+    };
+    for agent in [AgentId(2), AgentId(3)] {
+        let side = &fleet.sides[&agent];
+        let update = RunnerUpdate {
+            agent,
+            session: side.session,
+            report: Report::default(),
+            load_report: side.runs.load_report(fleet.now, OWNER),
+            instance: Some(InstanceUpdate {
+                instance: side.runs.instance().cloned(),
+                runs_lost: true,
+                suspects: vec![suspect],
+            }),
+        };
+        fleet.engine.handle_update(fleet.now, update);
+    }
+    let answer = fleet.submit(SEARCHES, 1, 1).err();
+    assert_eq!(answer, Some(CallerAnswer::Finished(JobOutcome::Failed)));
+    assert!(fleet.submit(SEARCHES, 2, 1).is_ok());
+}
