--- a/crates/hemlock_dispatch/src/dispatcher/crashes.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/crashes.rs
@@ -7,6 +7,7 @@
 
 use super::Dispatcher;
 use crate::instance::Agent;
+use crate::job::Job;
 use crate::order::{CrashSuspect, QueueId};
 
 /// Divisor of the time since a crash that gives the expected rest of an outage that lasts longer
@@ -143,12 +144,7 @@
     /// Whether a task of the job may be placed at the agent, as far as crashes are concerned. Of a
     /// confined queue, each instance runs the suspected tasks of one job at a time: a crash then
     /// shows which one is the cause.
-    pub(super) fn allows_placement(
-        &self,
-        job: &crate::job::Job,
-        key: TaskKey,
-        id: AgentId,
-    ) -> bool {
+    pub(super) fn allows_placement(&self, job: &Job, key: TaskKey, id: AgentId) -> bool {
         if !self.containment.is_active() {
             return true;
         }
