Hold jobs that arrive before the gateway serves, and elect one of several restarted keepers

After a loss of all processes, gateways reject jobs until the leader is elected, though instances are idle and the wait is shorter than many jobs' slack.

The one with the lowest id now goes first, and the wait after a start is that of a lease.

--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -251,7 +251,12 @@
     let spec = job(8, 6_000, 60);
     gateway
         .dispatcher
-        .admit(gateway.now, &queue("urgent", 0), &spec, None)
+        .admit(
+            gateway.now,
+            &queue("urgent", 0),
+            &spec,
+            CallerTimes::default(),
+        )
         .is_ok()
 }
 
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -8,10 +8,12 @@
 mod leader;
 mod runners;
 mod service;
+mod startup;
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use hemlock_dispatch::prelude::CallerTimes;
 use hemlock_jobs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -24,9 +26,12 @@
 use engine::{Engine, EngineSettings, Submission};
 use runners::Runners;
 use service::GatewayService;
+use startup::{StartupQueue, hold_limit};
 
 /// Retry delay for callers while the gateway has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
+/// Longest time for which held jobs wait for sessions with runners once there is a configuration.
+const SESSIONS_WAIT: DurationMs = DurationMs::new(50);
 /// Part of the caller's timeout that is reserved for the answer to reach it.
 const ANSWER_MARGIN: DurationMs = DurationMs::new(40);
 
@@ -53,6 +58,8 @@
     max_runners: usize,
     clock: SystemClock,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Jobs that arrive before the gateway serves.
+    startup: RefCell<StartupQueue>,
     engine: RefCell<Engine>,
     runners: Runners,
     /// Notified when the engine's next deadline may have changed.
@@ -76,6 +83,7 @@
                 engine: RefCell::new(Engine::new(clock.now(), settings.engine)),
                 clock,
                 configuration: RefCell::default(),
+                startup: RefCell::default(),
                 runners: Runners::default(),
                 engine_changed: Notify::new(),
                 tasks: TaskSet::default(),
@@ -107,6 +115,8 @@
         request: CallerRequest,
         time_left: DurationMs,
     ) -> CallerAnswer {
+        let received_at = self.clock.now();
+        self.hold_until_serving(&request, time_left).await;
         let configuration = self.configuration.borrow().clone();
         let Some(configuration) = configuration else {
             return CallerAnswer::Rejected {
@@ -120,7 +130,11 @@
         match (&request.action, found.rest.parse::<JobId>()) {
             (CallerAction::Submit(spec), Ok(id)) if spec.best_effort => {
                 let spec = spec.clone();
-                self.serve_best_effort(id, found.queue, spec, time_left)
+                let caller_times = CallerTimes {
+                    time_left: Some(time_left),
+                    waited: self.clock.now().since(received_at),
+                };
+                self.serve_best_effort(id, found.queue, spec, caller_times)
                     .await
             }
             (CallerAction::Cancel, Ok(id)) if self.abandon(id) => CallerAnswer::Canceled,
@@ -133,6 +147,51 @@
         }
     }
 
+    /// Holds a best-effort job until the gateway serves, or as long as that may be of use.
+    async fn hold_until_serving(&self, request: &CallerRequest, time_left: DurationMs) {
+        let CallerAction::Submit(spec) = &request.action else {
+            return;
+        };
+        if !spec.best_effort || self.startup.borrow().serves() {
+            return;
+        }
+        let now = self.clock.now();
+        let released = self
+            .startup
+            .borrow_mut()
+            .hold(now, &request.host, &request.path, spec);
+        // A job that isn't released in time is rejected, or submitted if a configuration is known.
+        let _ = tokio::time::timeout(hold_limit(spec, time_left).as_std(), released).await;
+    }
+
+    /// Releases the held jobs if there is a configuration.
+    fn release_held_jobs(&self) {
+        let configuration = self.configuration.borrow().clone();
+        let Some(configuration) = configuration.filter(|_| !self.startup.borrow().serves()) else {
+            return;
+        };
+        let count = self.startup.borrow_mut().release(&configuration);
+        info!(event = "serving", held_jobs = count);
+    }
+
+    /// Releases the held jobs after [`SESSIONS_WAIT`] at the latest, because runners may be down too.
+    fn release_held_jobs_soon(self: &Rc<Self>) {
+        if self.startup.borrow().serves() {
+            return;
+        }
+        let gateway = Rc::clone(self);
+        self.tasks.spawn(async move {
+            tokio::time::sleep(SESSIONS_WAIT.as_std()).await;
+            gateway.release_held_jobs();
+        });
+    }
+
+    /// Whether half of the followed runners are in session, so that admission knows the capacity.
+    fn has_capacity(&self) -> bool {
+        let (in_session, followed) = self.runners.sessions();
+        in_session * 2 >= followed
+    }
+
     /// Withdraws and answers all open best-effort jobs, because the process is about to stop.
     pub fn give_up_all(self: &Rc<Self>) {
         self.engine.borrow_mut().give_up_all(self.clock.now());
@@ -145,16 +204,19 @@
         id: JobId,
         queue: &Queue,
         spec: JobSpec,
-        time_left: DurationMs,
+        caller: CallerTimes,
     ) -> CallerAnswer {
         let now = self.clock.now();
-        let usable_ms = time_left.as_ms().saturating_sub(ANSWER_MARGIN.as_ms());
+        let time_left = caller.time_left.unwrap_or_default();
+        let reserved_ms = caller.waited.as_ms() + ANSWER_MARGIN.as_ms();
+        let usable_ms = time_left.as_ms().saturating_sub(reserved_ms);
         let answer_deadline = now + DurationMs::new(usable_ms);
         let submission = Submission {
             id,
             queue,
             spec,
             answer_deadline,
+            waited: caller.waited,
         };
         let submitted = self.engine.borrow_mut().submit(now, submission);
         self.run_engine();
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -97,6 +97,13 @@
         self.version.get()
     }
 
+    /// Number of runners in session, and of followed runners.
+    pub(super) fn sessions(&self) -> (usize, usize) {
+        let links = self.links.borrow();
+        let in_session = links.values().filter(|link| link.current.is_active());
+        (in_session.count(), self.followed.borrow().len())
+    }
+
     fn is_followed(&self, agent: AgentId) -> bool {
         self.followed.borrow().contains(&agent)
     }
@@ -193,6 +200,9 @@
             current.begin(session, link.clone());
             self.stop_unwanted(agent, session, stops);
             self.run_engine();
+            if self.has_capacity() {
+                self.release_held_jobs();
+            }
             let cause = tokio::select! {
                 () = connection.until_closed() => "closed",
                 cause = self.ping_runner(agent, session, link, current) => cause,
--- a/crates/hemlock_quorum/src/quorum.rs
+++ b/crates/hemlock_quorum/src/quorum.rs
@@ -35,6 +35,9 @@
 use role_state::RoleState;
 use snapshots::IncomingSnapshot;
 
+/// Part of a lease by which the clocks of two keepers may drift apart during it, as a divisor.
+const CLOCK_DRIFT_DIVISOR: u64 = 10;
+
 /// The replicated log on one keeper.
 ///
 /// It performs no I/O and reads no clock: the caller passes in [`Event`]s and performs the returned
@@ -70,6 +73,8 @@
     refuse_votes_until: Instant,
     /// Whether this keeper has neither led nor been in contact with a leader since it started.
     is_restarted: bool,
+    /// Until then, this keeper campaigns before others that have just started.
+    campaigns_first_until: Instant,
     election_deadline: Instant,
     next_request_at: Instant,
     join_requests: BTreeMap<KeeperId, JoinRequest>,
@@ -135,6 +140,7 @@
             ack_due: false,
             refuse_votes_until: Instant::ZERO,
             is_restarted: true,
+            campaigns_first_until: Instant::ZERO,
             election_deadline: Instant::ZERO,
             next_request_at: Instant::ZERO,
             join_requests: BTreeMap::new(),
@@ -178,17 +184,20 @@
         }
     }
 
-    /// Handles the first event after startup. Votes are refused as if a leader had just been in
-    /// contact, because this keeper may have heard from one before the restart. Pre-votes are
-    /// requested at once, because all keepers may have restarted.
+    /// Handles the first event after startup. Votes are refused for the duration of a lease, because
+    /// this keeper may have acknowledged one just before the restart. Pre-votes are requested at
+    /// once, because all keepers may have restarted.
     fn start_once(&mut self) {
         if self.started {
             return;
         }
         self.started = true;
         self.bootstrap.start(self.now, &self.config);
-        self.record_leader_contact();
+        let lease_ms = self.config.lease_ms;
+        let wait_ms = lease_ms + lease_ms.div_ceil(CLOCK_DRIFT_DIVISOR);
+        self.refuse_votes_until = self.now + DurationMs::new(wait_ms);
         self.election_deadline = self.now;
+        self.campaigns_first_until = self.now + DurationMs::new(self.config.election_max_ms);
         self.next_request_at = self.now;
         if let Some(snapshot) = &self.snapshot {
             self.out.push(Action::Restore(snapshot.clone()));
--- a/crates/hemlock_quorum/src/quorum/election.rs
+++ b/crates/hemlock_quorum/src/quorum/election.rs
@@ -122,17 +122,15 @@
         let log_is_current = self
             .log
             .is_candidate_up_to_date(request.last_term, request.last_index);
+        let is_welcome = log_is_current
+            && term > self.hard_state.term
+            && !self.is_better_candidate(from, term, request);
         let granted = match request.pre_vote {
-            true => !leader_may_hold_lease && log_is_current && term > self.hard_state.term,
+            true => !leader_may_hold_lease && is_welcome,
             false => !leader_may_hold_lease && self.grant_vote(from, term, log_is_current),
         };
-        let would_grant = request.pre_vote && log_is_current && term > self.hard_state.term;
-        let restarted = match would_grant && self.is_restarted {
-            true if granted || !self.is_better_candidate(from, term, request) => {
-                Some(self.restarted_voter(term))
-            }
-            _ => None,
-        };
+        let restarted = (request.pre_vote && is_welcome && self.is_restarted)
+            .then(|| self.restarted_voter(term));
         let reply = Body::VoteReply(VoteReply {
             pre_vote: request.pre_vote,
             asked: term,
@@ -155,13 +153,16 @@
     }
 
     /// Whether this keeper should be elected rather than a candidate whose log is up to date too: of
-    /// keepers that start together with equal logs, the one with the lowest id campaigns.
+    /// keepers that have just started with equal logs, the one with the lowest id campaigns, so that
+    /// their votes aren't split. Others get their chance if it can't reach a quorum in time.
     fn is_better_candidate(&self, candidate: KeeperId, term: Term, request: VoteRequest) -> bool {
         let has_equal_log = request.last_term == self.log.last_term()
             && request.last_index == self.log.last_index();
         let is_same_term = term == self.hard_state.term.next();
         let campaigns = matches!(self.role, RoleState::PreCandidate(_));
-        has_equal_log && is_same_term && campaigns && self.config.id < candidate
+        let has_just_started = self.is_restarted && self.now < self.campaigns_first_until;
+        let is_rival = has_just_started && campaigns && self.config.id < candidate;
+        is_rival && has_equal_log && is_same_term
     }
 
     /// What this keeper tells a candidate for `term`, if it has just started.
--- a/crates/hemlock_quorum/tests/cluster.rs
+++ b/crates/hemlock_quorum/tests/cluster.rs
@@ -62,21 +62,28 @@
 const IMMEDIATE_RECOVERY_MS: u64 = 100;
 
 /// Times from the start of a majority after a power failure to the next accepted command, over 100
-/// seeds in ascending order. The keepers start `interval_ms` apart.
-fn recovery_times_ms(interval_ms: u64) -> Vec<u64> {
+/// seeds in ascending order. The keepers start `interval_ms` apart. If `without_leader` is set, the
+/// latest leader and another keeper don't.
+fn recovery_times_ms(interval_ms: u64, without_leader: bool) -> Vec<u64> {
     let mut took_ms = Vec::new();
     for seed in 0..100 {
         let mut sim = Sim::with_fast_elections(seed, 5, 0);
         assert!(sim.run_ms(5_000, |sim| sim.leader().is_some()));
         sim.run_ms(500, |_| false);
-        for id in sim.ids() {
-            sim.crash(id);
+        let mut ids = sim.ids();
+        let last_leader = leader(&sim);
+        for id in &ids {
+            sim.crash(*id);
+        }
+        if without_leader {
+            ids.retain(|id| *id != last_leader);
+            ids.pop();
         }
         sim.run_ms(500, |_| false);
         let before = sim.model.accepted.len();
         let accepts = |sim: &Sim| sim.model.accepted.len() > before;
         let mut started_us = None;
-        for (index, id) in sim.ids().into_iter().enumerate() {
+        for (index, id) in ids.into_iter().enumerate() {
             if !accepts(&sim) {
                 sim.run_ms(interval_ms, accepts);
             }
@@ -98,13 +105,20 @@
 /// Guards against waiting out the lease of a leader that is known to have restarted.
 #[test]
 fn fast_elections_recover_quickly_after_a_power_failure() {
-    let staggered_ms = recovery_times_ms(60);
+    let staggered_ms = recovery_times_ms(60, false);
     assert!(staggered_ms[50] <= FAST_RECOVERY_MS, "{staggered_ms:?}");
-    let together_ms = recovery_times_ms(0);
+    let together_ms = recovery_times_ms(0, false);
     assert!(together_ms[50] <= IMMEDIATE_RECOVERY_MS, "{together_ms:?}");
     assert!(together_ms[95] <= FAST_RECOVERY_MS, "{together_ms:?}");
 }
 
+/// Guards against a split vote among keepers that have waited for the same time.
+#[test]
+fn keepers_that_start_together_without_the_leader_elect_one_at_once() {
+    let took_ms = recovery_times_ms(0, true);
+    assert!(took_ms[95] <= FAST_RECOVERY_MS, "{took_ms:?}");
+}
+
 #[test]
 fn an_isolated_leader_steps_down_and_rejoins_as_a_follower() {
     for (seed, inwards, outwards) in [(1, true, true), (2, true, false), (3, false, true)] {
