Time load reports for each gateway, by its answers

A runner sent each load report to all gateways in session, also to those that had just received the load with an answer or an end, and as often to a gateway that was slow to answer. Each gateway now has its own timer: messages that carry the load count as reports, and the time between two reports is at least four times the mean answer time, up to 30 ms. The replay now models updates of which one is in flight.

Held jobs are released when no further runner has begun a session for 10 ms.

--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -30,8 +30,11 @@
 
 /// Retry delay for callers while the gateway has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
-/// Longest time for which held jobs wait for sessions with runners once there is a configuration.
-const SESSIONS_WAIT: DurationMs = DurationMs::new(50);
+/// Time without a new session with a runner after which held jobs no longer wait for further ones.
+const SESSION_INTERVAL: DurationMs = DurationMs::new(10);
+/// Longest time for which held jobs wait for sessions with runners once there is a configuration,
+/// in units of [`SESSION_INTERVAL`].
+const MAX_SESSION_INTERVALS: usize = 5;
 /// Part of the caller's timeout that is reserved for the answer to reach it.
 const ANSWER_MARGIN: DurationMs = DurationMs::new(40);
 
@@ -174,22 +177,32 @@
         info!(event = "serving", held_jobs = count);
     }
 
-    /// Releases the held jobs after [`SESSIONS_WAIT`] at the latest, because runners may be down too.
+    /// Releases the held jobs when the sessions with runners have begun. Those of runners that are
+    /// still down are not awaited.
     fn release_held_jobs_soon(self: &Rc<Self>) {
         if self.startup.borrow().serves() {
             return;
         }
         let gateway = Rc::clone(self);
         self.tasks.spawn(async move {
-            tokio::time::sleep(SESSIONS_WAIT.as_std()).await;
+            let mut before = 0;
+            for _ in 0..MAX_SESSION_INTERVALS {
+                tokio::time::sleep(SESSION_INTERVAL.as_std()).await;
+                let (in_session, _) = gateway.runners.sessions();
+                if in_session > 0 && in_session == before {
+                    break;
+                }
+                before = in_session;
+            }
             gateway.release_held_jobs();
         });
     }
 
-    /// Whether half of the followed runners are in session, so that admission knows the capacity.
-    fn has_capacity(&self) -> bool {
+    /// Whether all followed runners are in session. Jobs that are submitted earlier go to the first
+    /// few runners, or are rejected for the lack of others.
+    fn knows_capacity(&self) -> bool {
         let (in_session, followed) = self.runners.sessions();
-        in_session * 2 >= followed
+        in_session >= followed
     }
 
     /// Withdraws and answers all open best-effort jobs, because the process is about to stop.
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -200,7 +200,7 @@
             current.begin(session, link.clone());
             self.stop_unwanted(agent, session, stops);
             self.run_engine();
-            if self.has_capacity() {
+            if self.knows_capacity() {
                 self.release_held_jobs();
             }
             let cause = tokio::select! {
--- a/crates/hemlock_nodes/src/load_reports.rs
+++ b/crates/hemlock_nodes/src/load_reports.rs
@@ -4,6 +4,10 @@
 //! shortest tasks are long. Most changes at a busy instance decide nothing: whether three or four
 //! further tasks fit is the same to a gateway that places one. Such changes are not reported by
 //! themselves; answers to orders and reports of ends carry the load as well.
+//!
+//! Load pattern: gateways that are short of processor time. They follow dozens of runners, and
+//! reports of all of them would take the time that callers' requests need. A gateway that takes long
+//! to answer is therefore sent reports less often.
 
 use hemlock_dispatch::prelude::{LoadReport, URGENCY_LEVELS};
 use hemlock_types::time::{DurationMs, Instant};
@@ -11,6 +15,14 @@
 /// Least time between two reports for each gateway that receives them, in microseconds. It bounds
 /// the processor time that a runner spends on reports.
 const MIN_INTERVAL_PER_GATEWAY_US: u64 = 700;
+/// Time between two reports to a gateway as a multiple of the time that it takes to answer one. It
+/// bounds the share of its processor time that a busy gateway spends on reports.
+const ANSWER_TIMES: u64 = 4;
+/// Longest time between two reports because of slow answers, in microseconds. It is shorter than the
+/// shortest tasks.
+const MAX_ANSWER_INTERVAL_US: u64 = 30_000;
+/// Weight of the latest answer time in the mean, as a divisor.
+const ANSWER_WEIGHT_DIVISOR: u64 = 4;
 /// Age at which any change is reported.
 const MAX_AGE: DurationMs = DurationMs::new(50);
 /// Number of further tasks from which on it makes no difference to a gateway how many fit.
@@ -57,17 +69,43 @@
     }
 }
 
-/// Times the load reports of one runner.
+/// Times the load reports from one runner to one gateway.
 #[derive(Debug, Default)]
 pub struct LoadReports {
     sent_at: Instant,
     sent: Option<LoadSummary>,
+    /// Whether the load may have changed since the last report.
+    changed: bool,
+    /// Mean time until an update is answered, in microseconds.
+    answer_us: u64,
 }
 
 impl LoadReports {
-    /// Returns the instant at which the current load is to be reported to `gateways` gateways.
+    /// Notes that the load may have changed.
+    pub fn note_changed(&mut self) {
+        self.changed = true;
+    }
+
+    /// Whether the load may have changed since the last report.
+    pub fn is_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Notes that an update was answered after `took_us` microseconds.
+    pub fn note_answered(&mut self, took_us: u64) {
+        let earlier_us = match self.answer_us {
+            0 => took_us,
+            known => known,
+        };
+        let weighted_us = earlier_us * (ANSWER_WEIGHT_DIVISOR - 1) + took_us;
+        self.answer_us = weighted_us / ANSWER_WEIGHT_DIVISOR;
+    }
+
+    /// Returns the instant at which the current load is to be reported, if `gateways` gateways
+    /// receive reports.
     pub fn due_at(&self, current: &LoadSummary, gateways: usize) -> Instant {
-        let interval_us = MIN_INTERVAL_PER_GATEWAY_US * gateways as u64;
+        let answer_interval_us = (self.answer_us * ANSWER_TIMES).min(MAX_ANSWER_INTERVAL_US);
+        let interval_us = answer_interval_us.max(MIN_INTERVAL_PER_GATEWAY_US * gateways as u64);
         let earliest = Instant::from_micros(self.sent_at.as_micros() + interval_us);
         match &self.sent {
             Some(sent) if sent == current => earliest.max(self.sent_at + MAX_AGE),
@@ -76,9 +114,10 @@
         }
     }
 
-    /// Notes that the current load is reported now.
+    /// Notes that the current load is reported now, by itself or with another message.
     pub fn note_sent(&mut self, now: Instant, current: LoadSummary) {
         self.sent_at = now;
         self.sent = Some(current);
+        self.changed = false;
     }
 }
--- a/crates/hemlock_nodes/src/runner/gateways.rs
+++ b/crates/hemlock_nodes/src/runner/gateways.rs
@@ -25,6 +25,7 @@
     /// Set once the gateway's session has begun.
     session: Option<SessionId>,
     updates: Rc<RefCell<UpdateQueue>>,
+    reports: LoadReports,
 }
 
 /// The connected gateways.
@@ -44,6 +45,7 @@
                 link,
                 session,
                 updates: Rc::default(),
+                reports: LoadReports::default(),
             },
         );
     }
@@ -83,6 +85,39 @@
         Some(Rc::clone(&links.get(&gateway)?.updates))
     }
 
+    fn note_load_changed(&self) {
+        let mut links = self.links.borrow_mut();
+        links
+            .values_mut()
+            .for_each(|link| link.reports.note_changed());
+    }
+
+    fn note_reported(&self, gateway: Incarnation, now: Instant, load: LoadSummary) {
+        if let Some(link) = self.links.borrow_mut().get_mut(&gateway) {
+            link.reports.note_sent(now, load);
+        }
+    }
+
+    fn note_answered(&self, gateway: Incarnation, took_us: u64) {
+        if let Some(link) = self.links.borrow_mut().get_mut(&gateway) {
+            link.reports.note_answered(took_us);
+        }
+    }
+
+    /// The gateways to which a changed load is to be reported, each with the time. One with an
+    /// unanswered update is left out until it has answered.
+    fn reports_due(&self, load: &LoadSummary) -> Vec<(Instant, Incarnation)> {
+        let links = self.links.borrow();
+        let in_session = || links.iter().filter(|(_, link)| link.session.is_some());
+        let count = in_session().count();
+        let is_waiting =
+            |link: &GatewayLink| link.reports.is_changed() && !link.updates.borrow().is_in_flight();
+        in_session()
+            .filter(|(_, link)| is_waiting(link))
+            .map(|(gateway, link)| (link.reports.due_at(load, count), *gateway))
+            .collect()
+    }
+
     pub(super) fn in_session(&self) -> Vec<Incarnation> {
         let links = self.links.borrow();
         let attached = links.iter().filter(|(_, link)| link.session.is_some());
@@ -135,25 +170,35 @@
         }
     }
 
-    /// Sends load reports to all gateways after the load has changed. Never returns.
+    /// Notes that the load may have changed since the last reports.
+    pub(super) fn note_load_changed(&self) {
+        self.gateways.note_load_changed();
+        self.load_reports_due.notify_one();
+    }
+
+    /// Notes that a message to the gateway carries the current load.
+    pub(super) fn note_load_reported(&self, gateway: Incarnation) {
+        let load = self.summarize_load();
+        self.gateways.note_reported(gateway, self.clock.now(), load);
+    }
+
+    /// Reports the load to the gateways after it has changed. Never returns.
     pub(super) async fn run_load_reports(self: &Rc<Self>) {
-        let mut reports = LoadReports::default();
         loop {
-            self.load_changed.notified().await;
-            let gateways = loop {
-                let gateways = self.gateways.in_session();
-                let due_at = reports.due_at(&self.summarize_load(), gateways.len());
-                let wait_us = due_at.micros_since(self.clock.now());
-                if wait_us == 0 {
-                    break gateways;
-                }
+            let now = self.clock.now();
+            let due = self.gateways.reports_due(&self.summarize_load());
+            for (_, gateway) in due.iter().filter(|(at, _)| *at <= now) {
+                self.send_update(*gateway, Report::default(), None);
+            }
+            let later = due.iter().map(|(at, _)| *at).filter(|at| *at > now);
+            let notified = self.load_reports_due.notified();
+            match later.min() {
                 // Another change may be worth an earlier report.
-                let wait = std::time::Duration::from_micros(wait_us);
-                let _ = tokio::time::timeout(wait, self.load_changed.notified()).await;
-            };
-            reports.note_sent(self.clock.now(), self.summarize_load());
-            for gateway in gateways {
-                self.send_update(gateway, Report::default(), None);
+                Some(at) => {
+                    let wait = std::time::Duration::from_micros(at.micros_since(now));
+                    let _ = tokio::time::timeout(wait, notified).await;
+                }
+                None => notified.await,
             }
         }
     }
@@ -188,6 +233,7 @@
                 runner.call_gateway(gateway, update).await;
                 next = updates.borrow_mut().finish();
             }
+            runner.load_reports_due.notify_one();
         });
     }
 
@@ -206,8 +252,12 @@
             load_report,
             instance: pending.instance,
         };
+        let sent_at = self.clock.now();
+        self.note_load_reported(gateway);
         let call = link.call::<_, ()>(&update);
         // A gateway that misses an update gets the ends when it reconnects and claims its runs.
         let _ = tokio::time::timeout(UPDATE_TIMEOUT.as_std(), call).await;
+        let took_us = self.clock.now().micros_since(sent_at);
+        self.gateways.note_answered(gateway, took_us);
     }
 }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -68,8 +68,8 @@
     clock: SystemClock,
     /// Notified when the next listing must not wait for its delay.
     listing_due: Notify,
-    /// Notified when gateways must get a load report.
-    load_changed: Notify,
+    /// Notified when a load report may be due earlier than before.
+    load_reports_due: Notify,
     tasks: TaskSet,
 }
 
@@ -94,7 +94,7 @@
                 suspended: Cell::new(false),
                 clock,
                 listing_due: Notify::new(),
-                load_changed: Notify::new(),
+                load_reports_due: Notify::new(),
                 tasks: TaskSet::default(),
             }
         })
@@ -158,7 +158,7 @@
         }
         info!(event = "instance-suspension", suspended);
         metrics::gauge!("hemlock_runner_instance_suspended").set(f64::from(u8::from(suspended)));
-        self.load_changed.notify_one();
+        self.note_load_changed();
     }
 
     /// Sets the metrics of the owners' shares.
@@ -185,7 +185,7 @@
             .borrow_mut()
             .heartbeat_received(self.clock.now(), heartbeat);
         if is_cold {
-            self.load_changed.notify_one();
+            self.note_load_changed();
         }
         if change != InstanceChange::None {
             info!(event = "instance-beat", instance = name, domain, draining, change = ?change);
@@ -249,7 +249,7 @@
             return;
         }
         self.note_suspension();
-        self.load_changed.notify_one();
+        self.note_load_changed();
         let mut to_leader = (Report::default(), Vec::new());
         let mut to_gateways = Vec::new();
         for (owner, outcome) in outcomes {
--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -69,7 +69,10 @@
                 let (calls, refused) = self.runs.borrow_mut().handle_order(now, owner, order);
                 self.make_calls(calls);
                 self.report_outcomes();
-                self.load_changed.notify_one();
+                self.note_load_changed();
+                if let Owner::Gateway(gateway) = owner {
+                    self.note_load_reported(gateway);
+                }
                 RunnerReply::Ordered(refused, self.runs.borrow().load_report(now, owner))
             }
             (RunnerRequest::Attach(..), Owner::Gateway(_)) if !self.knows_runs() => {
--- a/crates/hemlock_nodes/src/update_queue.rs
+++ b/crates/hemlock_nodes/src/update_queue.rs
@@ -39,6 +39,11 @@
 }
 
 impl UpdateQueue {
+    /// Whether an update is unanswered.
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight
+    }
+
     /// Adds an update. Returns it if it is to be sent now.
     pub fn push(&mut self, update: PendingUpdate) -> Option<PendingUpdate> {
         match (self.in_flight, &mut self.waiting) {
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -5,14 +5,15 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_nodes::gateway::engine::{Engine, EngineSettings};
-use hemlock_nodes::load_reports::{LoadReports, LoadSummary};
+use hemlock_nodes::load_reports::LoadSummary;
 use hemlock_nodes::message::{Report, RunnerUpdate};
 use hemlock_nodes::subset::choose_subset;
+use hemlock_nodes::update_queue::PendingUpdate;
 use hemlock_runs::prelude::*;
 use hemlock_standin::InstanceModel;
 use hemlock_types::prelude::*;
 
-use super::{Deployment, Event, Gateway, GatewayMessage, Replay, Runner};
+use super::{Deployment, Event, Gateway, GatewayMessage, Replay, Runner, Updates};
 
 /// Time between a call to the instance and its answer, in microseconds.
 const INSTANCE_CALL_US: u64 = 400;
@@ -83,7 +84,7 @@
                 busy_until_us: 0,
                 listing_us: 0,
                 next_report_us: 0,
-                reports: LoadReports::default(),
+                updates: BTreeMap::new(),
                 messages: 0,
                 heartbeat_count: 1,
                 cold_until_us: 0,
@@ -151,6 +152,7 @@
         self.deliver_to_gateway(gateway, self.now_us, Event::ToGateway(gateway, answer));
         self.send_outcomes(runner);
         self.load_changed(runner);
+        self.note_reported(runner, gateway);
     }
 
     fn advance_model(&mut self, runner: usize) {
@@ -292,7 +294,30 @@
         self.load_changed(runner);
     }
 
+    /// Sends an update, or merges it with others that wait for the answer to an earlier one.
     pub(super) fn send_update(&mut self, runner: usize, gateway: usize, report: Report) {
+        let updates = self.runners[runner].updates.entry(gateway).or_default();
+        let pending = PendingUpdate {
+            report,
+            instance: None,
+        };
+        if let Some(pending) = updates.queue.push(pending) {
+            self.transmit_update(runner, gateway, pending.report);
+        }
+    }
+
+    pub(super) fn update_answered(&mut self, runner: usize, gateway: usize, sent_us: u64) {
+        let took_us = self.now_us - sent_us;
+        let updates = self.runners[runner].updates.entry(gateway).or_default();
+        updates.reports.note_answered(took_us);
+        match updates.queue.finish() {
+            Some(pending) => self.transmit_update(runner, gateway, pending.report),
+            None => self.schedule_report(runner),
+        }
+    }
+
+    fn transmit_update(&mut self, runner: usize, gateway: usize, report: Report) {
+        self.note_reported(runner, gateway);
         let Some(session) = self.gateways[gateway].sessions.get(&runner).copied() else {
             return;
         };
@@ -306,14 +331,49 @@
         };
         self.runners[runner].busy_until_us =
             self.runners[runner].busy_until_us.max(self.now_us) + self.deployment.runner_message_us;
-        let message = GatewayMessage::Update(Box::new(update));
+        let message = GatewayMessage::Update(Box::new(update), self.now_us);
         self.deliver_to_gateway(gateway, self.now_us, Event::ToGateway(gateway, message));
     }
 
     fn load_changed(&mut self, runner: usize) {
         let state = &mut self.runners[runner];
-        let due = state.reports.due_at(&state.summary(), state.owners.len());
-        let due_us = due.as_micros().max(self.now_us);
+        for gateway in &state.owners {
+            let updates = state.updates.entry(*gateway).or_default();
+            updates.reports.note_changed();
+        }
+        self.schedule_report(runner);
+    }
+
+    fn note_reported(&mut self, runner: usize, gateway: usize) {
+        let now = self.now();
+        let state = &mut self.runners[runner];
+        let summary = state.summary();
+        let updates = state.updates.entry(gateway).or_default();
+        updates.reports.note_sent(now, summary);
+    }
+
+    /// The gateways to which a changed load is to be reported, each with the time.
+    fn reports_due(&self, runner: usize) -> Vec<(u64, usize)> {
+        let state = &self.runners[runner];
+        let summary = state.summary();
+        let is_waiting =
+            |updates: &Updates| updates.reports.is_changed() && !updates.queue.is_in_flight();
+        let updates = state.updates.iter();
+        let waiting = updates.filter(|(_, updates)| is_waiting(updates));
+        let due = waiting.map(|(gateway, updates)| {
+            let due = updates.reports.due_at(&summary, state.owners.len());
+            (due.as_micros(), *gateway)
+        });
+        due.collect()
+    }
+
+    fn schedule_report(&mut self, runner: usize) {
+        let due = self.reports_due(runner);
+        let Some(due_us) = due.iter().map(|(at_us, _)| *at_us).min() else {
+            return;
+        };
+        let due_us = due_us.max(self.now_us);
+        let state = &mut self.runners[runner];
         if state.next_report_us <= self.now_us || due_us < state.next_report_us {
             state.next_report_us = due_us;
             self.at(due_us, Event::ReportDue(runner));
@@ -321,18 +381,16 @@
     }
 
     pub(super) fn report_load(&mut self, runner: usize) {
-        let now = self.now();
-        let state = &mut self.runners[runner];
-        let summary = state.summary();
-        let due = state.reports.due_at(&summary, state.owners.len());
-        // A later change has moved the report, or an earlier one has sent it.
-        if due > now || state.next_report_us != self.now_us {
+        // A later change has moved the report.
+        if self.runners[runner].next_report_us != self.now_us {
             return;
         }
-        state.reports.note_sent(now, summary);
-        for gateway in state.owners.clone() {
-            self.send_update(runner, gateway, Report::default());
+        for (at_us, gateway) in self.reports_due(runner) {
+            if at_us <= self.now_us {
+                self.send_update(runner, gateway, Report::default());
+            }
         }
+        self.schedule_report(runner);
     }
 }
 
--- a/crates/hemlock_nodes/tests/replay/mod.rs
+++ b/crates/hemlock_nodes/tests/replay/mod.rs
@@ -16,6 +16,7 @@
 use hemlock_nodes::gateway::engine::Engine;
 use hemlock_nodes::load_reports::LoadReports;
 use hemlock_nodes::message::{CallerAnswer, RunnerUpdate};
+use hemlock_nodes::update_queue::UpdateQueue;
 use hemlock_runs::prelude::*;
 use hemlock_standin::InstanceModel;
 use hemlock_types::prelude::*;
@@ -63,6 +64,8 @@
     /// The instance answers the listing that was sent at the time, unless it has been answered.
     ListingAnswered(usize, u64),
     ReportDue(usize),
+    /// The gateway's answer to the update that was sent at the time reaches the runner.
+    UpdateAnswered(usize, usize, u64),
     Step(usize),
     Ping(usize),
     Tick(usize),
@@ -75,9 +78,17 @@
     Heartbeat(usize),
 }
 
+/// The updates of a runner to one gateway.
+#[derive(Default)]
+struct Updates {
+    queue: UpdateQueue,
+    reports: LoadReports,
+}
+
 enum GatewayMessage {
     Ordered(AgentId, SessionId, Vec<RefusedStart>, LoadReport),
-    Update(Box<RunnerUpdate>),
+    /// With the time at which it was sent.
+    Update(Box<RunnerUpdate>, u64),
 }
 
 struct Gateway {
@@ -98,7 +109,8 @@
     listing_us: u64,
     /// Time of the scheduled load report.
     next_report_us: u64,
-    reports: LoadReports,
+    /// Updates to each gateway.
+    updates: BTreeMap<usize, Updates>,
     messages: u64,
     heartbeat_count: u64,
     /// End of the time in which the instance is slow.
@@ -196,6 +208,9 @@
             Event::TaskEnds(runner, task, run, end) => self.end_task(runner, task, run, end),
             Event::ListingAnswered(runner, sent_us) => self.answer_listing(runner, sent_us),
             Event::ReportDue(runner) => self.report_load(runner),
+            Event::UpdateAnswered(runner, gateway, sent_us) => {
+                self.update_answered(runner, gateway, sent_us);
+            }
             Event::Step(gateway) => self.step_gateway(gateway),
             Event::Ping(gateway) => self.ping_runners(gateway),
             Event::Tick(runner) => self.tick_runner(runner),
@@ -279,7 +294,12 @@
                 };
                 engine.handle_report(now, agent, session, &report);
             }
-            GatewayMessage::Update(update) => engine.handle_update(now, *update),
+            GatewayMessage::Update(update, sent_us) => {
+                let runner = fleet::runner_index(update.agent);
+                engine.handle_update(now, *update);
+                let arrives_us = self.now_us + self.deployment.link_us;
+                self.at(arrives_us, Event::UpdateAnswered(runner, gateway, sent_us));
+            }
         }
         self.step_gateway(gateway);
     }
