Don't hold jobs until the gateway serves

Jobs that arrived before the gateway served were held, since the instances are idle meanwhile. What is held comes on top of the callers that return, and the instances are full for the next half a second in either case. Rejecting at once tells callers earlier.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -47,15 +47,6 @@
     retries: RetrySpread,
 }
 
-/// The times of a job's caller that matter for its admission.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CallerTimes {
-    /// How long the caller still waits, if known.
-    pub time_left: Option<DurationMs>,
-    /// How long the job has been held before it is admitted.
-    pub waited: DurationMs,
-}
-
 /// Rejection of a job that is expected to miss its objective or its caller's deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionError {
@@ -70,7 +61,8 @@
 }
 
 impl Dispatcher {
-    /// Decides whether to admit a job to the queue.
+    /// Decides whether to admit a job to the queue. `time_left` is how long its caller waits, if
+    /// known.
     ///
     /// # Errors
     ///
@@ -81,7 +73,7 @@
         now: Instant,
         queue: &Queue,
         spec: &JobSpec,
-        caller: CallerTimes,
+        time_left: Option<DurationMs>,
     ) -> Result<(), AdmissionError> {
         self.advance(now);
         if self.is_evacuated(&queue.service) {
@@ -103,24 +95,18 @@
         let most_wait_ms = slack_ms as f64 * self.settings.max_admit_slack_share;
         let wait_ms = self.expected_wait_ms(queue);
         let min_duration_ms = wait_ms + critical_path_ms / MAX_OVERESTIMATE_FACTOR;
-        let time_left = caller.time_left;
         let misses_deadline = time_left.is_some_and(|left| min_duration_ms > left.as_ms());
         let work = spec_work(spec);
         let AdmissionHistory { sizes, retries } =
             self.histories.entry(queue.name.clone()).or_default();
         sizes.note_asked(work);
         let max_wait_ms = (usual_wait_ms * sizes.wait_factor(work)).min(most_wait_ms);
-        // Where there is no wait, a job that is late already takes no room from others.
-        let total_wait_ms = match wait_ms {
-            0 => 0,
-            _ => caller.waited.as_ms() + wait_ms,
-        };
-        let is_too_long = total_wait_ms as f64 > max_wait_ms;
+        let is_too_long = wait_ms as f64 > max_wait_ms;
         sizes.note_decision(work, !misses_deadline && !is_too_long);
         let cause = match (misses_deadline, is_too_long) {
             (false, false) => return Ok(()),
             (true, _) => RejectionCause::Deadline,
-            (false, true) if total_wait_ms as f64 <= usual_wait_ms => RejectionCause::Size,
+            (false, true) if wait_ms as f64 <= usual_wait_ms => RejectionCause::Size,
             (false, true) => RejectionCause::Wait,
         };
         let least_ms = wait_ms.max(self.settings.retry_after_min_ms);
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -9,7 +9,7 @@
 mod tick;
 mod withdrawal;
 
-pub use admission::{AdmissionError, CallerTimes, RejectionCause};
+pub use admission::{AdmissionError, RejectionCause};
 pub use crashes::ConfinementChange;
 pub use sessions::Adoption;
 pub use withdrawal::Withdrawal;
@@ -170,21 +170,9 @@
 
     /// Adds a job that the job store has just accepted.
     pub fn job_accepted(&mut self, now: Instant, id: JobId, queue: &str, open: &OpenJob) {
-        self.held_job_accepted(now, id, queue, open, DurationMs::new(0));
-    }
-
-    /// Adds a job whose caller has waited for `waited` before the job was accepted.
-    pub fn held_job_accepted(
-        &mut self,
-        now: Instant,
-        id: JobId,
-        queue: &str,
-        open: &OpenJob,
-        waited: DurationMs,
-    ) {
         self.advance(now);
         self.withdrawals.forget(id);
-        self.add_job(id, queue, open, waited, TaskState::Waiting);
+        self.add_job(id, queue, open, DurationMs::new(0), TaskState::Waiting);
         self.note_admitted(id);
         self.note_rack_demand(id);
     }
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -80,12 +80,6 @@
     }
 }
 
-/// The latency objective, counted from acceptance, of a job of the queue with the given critical
-/// path.
-pub fn latency_objective(queue: &Queue, critical_path_ms: u64) -> DurationMs {
-    Policy::of(queue).objective(critical_path_ms)
-}
-
 /// A job that has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -223,7 +217,7 @@
 }
 
 /// Length of the critical path of a whole job, by the caller's estimates.
-pub fn spec_critical_path_ms(spec: &JobSpec) -> u64 {
+pub(crate) fn spec_critical_path_ms(spec: &JobSpec) -> u64 {
     let steps = spec.steps.iter();
     longest_path_ms(steps.map(|step| (step.estimate_ms, step.depends_on.as_slice())))
 }
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -33,10 +33,8 @@
 /// The items that most callers need.
 pub mod prelude {
     pub use crate::dispatcher::{
-        AdmissionError, CallerTimes, ConfinementChange, Dispatcher, JobStage, RejectionCause,
-        Withdrawal,
+        AdmissionError, ConfinementChange, Dispatcher, JobStage, RejectionCause, Withdrawal,
     };
-    pub use crate::job::{latency_objective, spec_critical_path_ms};
     pub use crate::order::{
         CrashSuspect, EndAction, Inventory, LoadReport, Order, QueueId, REPORTED_ENDS,
         RefusalReason, RunEnd, RunReport, SessionId, StartOrder, StopOrder, URGENCY_LEVELS,
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -251,12 +251,7 @@
     let spec = job(8, 6_000, 60);
     gateway
         .dispatcher
-        .admit(
-            gateway.now,
-            &queue("urgent", 0),
-            &spec,
-            CallerTimes::default(),
-        )
+        .admit(gateway.now, &queue("urgent", 0), &spec, None)
         .is_ok()
 }
 
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -124,7 +124,7 @@
             (CallerAction::Submit(spec), Ok(id)) => {
                 let version = configuration.version;
                 let admitted = self.dispatcher.as_mut().map_or(Ok(()), |dispatcher| {
-                    dispatcher.admit(self.now, queue, &spec, CallerTimes::default())
+                    dispatcher.admit(self.now, queue, &spec, None)
                 });
                 match admitted {
                     Ok(()) => {
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -54,8 +54,6 @@
     pub spec: JobSpec,
     /// Time by which the job must be answered.
     pub answer_deadline: Instant,
-    /// How long the job has been held since it was received.
-    pub waited: DurationMs,
 }
 
 /// The caller that waits for a job.
@@ -136,7 +134,6 @@
             queue,
             spec,
             answer_deadline,
-            waited,
         } = submission;
         let known = self.store.job(id).map(JobRecord::outcome);
         match known {
@@ -152,11 +149,10 @@
             warn!(event = "job-failed-before", job = %id, queue = queue.name);
             return Err(CallerAnswer::Finished(JobOutcome::Failed));
         }
-        let caller = CallerTimes {
-            time_left: Some(answer_deadline.since(now)),
-            waited,
-        };
-        if let Err(refusal) = self.dispatcher.admit(now, queue, &spec, caller) {
+        if let Err(refusal) =
+            self.dispatcher
+                .admit(now, queue, &spec, Some(answer_deadline.since(now)))
+        {
             info!(event = "job-rejected", job = %id, queue = queue.name,
                   expected_wait_ms = refusal.expected_wait_ms, cause = %refusal.cause,
                   size = %refusal.size, retry_after_ms = refusal.retry_after_ms);
@@ -181,8 +177,7 @@
         );
         self.apply(now, Command::Accept(Box::new(acceptance)));
         if let Some(open) = self.store.job(id).and_then(JobRecord::open) {
-            self.dispatcher
-                .held_job_accepted(now, id, &queue.name, open, waited);
+            self.dispatcher.job_accepted(now, id, &queue.name, open);
             self.dispatcher.set_caller_deadline(id, answer_deadline);
         }
         Ok(self.wait_for(now, id, answer_deadline))
--- a/crates/hemlock_nodes/src/gateway/leader.rs
+++ b/crates/hemlock_nodes/src/gateway/leader.rs
@@ -106,7 +106,6 @@
         self.engine.borrow_mut().configure(&configuration);
         self.configuration.replace(Some(Rc::new(configuration)));
         self.run_engine();
-        self.release_held_jobs_soon();
     }
 
     /// Forwards a request to the leader and returns its answer, within `time_left`.
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -8,12 +8,10 @@
 mod leader;
 mod runners;
 mod service;
-mod startup;
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::CallerTimes;
 use hemlock_jobs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -26,15 +24,9 @@
 use engine::{Engine, EngineSettings, Submission};
 use runners::Runners;
 use service::GatewayService;
-use startup::{StartupQueue, hold_limit};
 
 /// Retry delay for callers while the gateway has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
-/// Time without a new session with a runner after which held jobs no longer wait for further ones.
-const SESSION_INTERVAL: DurationMs = DurationMs::new(10);
-/// Longest time for which held jobs wait for sessions with runners once there is a configuration,
-/// in units of [`SESSION_INTERVAL`].
-const MAX_SESSION_INTERVALS: usize = 5;
 /// Part of the caller's timeout that is reserved for the answer to reach it.
 const ANSWER_MARGIN: DurationMs = DurationMs::new(40);
 
@@ -61,8 +53,6 @@
     max_runners: usize,
     clock: SystemClock,
     configuration: RefCell<Option<Rc<Configuration>>>,
-    /// Jobs that arrive before the gateway serves.
-    startup: RefCell<StartupQueue>,
     engine: RefCell<Engine>,
     runners: Runners,
     /// Notified when the engine's next deadline may have changed.
@@ -86,7 +76,6 @@
                 engine: RefCell::new(Engine::new(clock.now(), settings.engine)),
                 clock,
                 configuration: RefCell::default(),
-                startup: RefCell::default(),
                 runners: Runners::default(),
                 engine_changed: Notify::new(),
                 tasks: TaskSet::default(),
@@ -118,8 +107,6 @@
         request: CallerRequest,
         time_left: DurationMs,
     ) -> CallerAnswer {
-        let received_at = self.clock.now();
-        self.hold_until_serving(&request, time_left).await;
         let configuration = self.configuration.borrow().clone();
         let Some(configuration) = configuration else {
             return CallerAnswer::Rejected {
@@ -133,11 +120,7 @@
         match (&request.action, found.rest.parse::<JobId>()) {
             (CallerAction::Submit(spec), Ok(id)) if spec.best_effort => {
                 let spec = spec.clone();
-                let caller_times = CallerTimes {
-                    time_left: Some(time_left),
-                    waited: self.clock.now().since(received_at),
-                };
-                self.serve_best_effort(id, found.queue, spec, caller_times)
+                self.serve_best_effort(id, found.queue, spec, time_left)
                     .await
             }
             (CallerAction::Cancel, Ok(id)) if self.abandon(id) => CallerAnswer::Canceled,
@@ -150,61 +133,6 @@
         }
     }
 
-    /// Holds a best-effort job until the gateway serves, or as long as that may be of use.
-    async fn hold_until_serving(&self, request: &CallerRequest, time_left: DurationMs) {
-        let CallerAction::Submit(spec) = &request.action else {
-            return;
-        };
-        if !spec.best_effort || self.startup.borrow().serves() {
-            return;
-        }
-        let now = self.clock.now();
-        let released = self
-            .startup
-            .borrow_mut()
-            .hold(now, &request.host, &request.path, spec);
-        // A job that isn't released in time is rejected, or submitted if a configuration is known.
-        let _ = tokio::time::timeout(hold_limit(spec, time_left).as_std(), released).await;
-    }
-
-    /// Releases the held jobs if there is a configuration.
-    fn release_held_jobs(&self) {
-        let configuration = self.configuration.borrow().clone();
-        let Some(configuration) = configuration.filter(|_| !self.startup.borrow().serves()) else {
-            return;
-        };
-        let count = self.startup.borrow_mut().release(&configuration);
-        info!(event = "serving", held_jobs = count);
-    }
-
-    /// Releases the held jobs when the sessions with runners have begun. Those of runners that are
-    /// still down are not awaited.
-    fn release_held_jobs_soon(self: &Rc<Self>) {
-        if self.startup.borrow().serves() {
-            return;
-        }
-        let gateway = Rc::clone(self);
-        self.tasks.spawn(async move {
-            let mut before = 0;
-            for _ in 0..MAX_SESSION_INTERVALS {
-                tokio::time::sleep(SESSION_INTERVAL.as_std()).await;
-                let (in_session, _) = gateway.runners.sessions();
-                if in_session > 0 && in_session == before {
-                    break;
-                }
-                before = in_session;
-            }
-            gateway.release_held_jobs();
-        });
-    }
-
-    /// Whether all followed runners are in session. Jobs that are submitted earlier go to the first
-    /// few runners, or are rejected for the lack of others.
-    fn knows_capacity(&self) -> bool {
-        let (in_session, followed) = self.runners.sessions();
-        in_session >= followed
-    }
-
     /// Withdraws and answers all open best-effort jobs, because the process is about to stop.
     pub fn give_up_all(self: &Rc<Self>) {
         self.engine.borrow_mut().give_up_all(self.clock.now());
@@ -217,19 +145,16 @@
         id: JobId,
         queue: &Queue,
         spec: JobSpec,
-        caller: CallerTimes,
+        time_left: DurationMs,
     ) -> CallerAnswer {
         let now = self.clock.now();
-        let time_left = caller.time_left.unwrap_or_default();
-        let reserved_ms = caller.waited.as_ms() + ANSWER_MARGIN.as_ms();
-        let usable_ms = time_left.as_ms().saturating_sub(reserved_ms);
+        let usable_ms = time_left.as_ms().saturating_sub(ANSWER_MARGIN.as_ms());
         let answer_deadline = now + DurationMs::new(usable_ms);
         let submission = Submission {
             id,
             queue,
             spec,
             answer_deadline,
-            waited: caller.waited,
         };
         let submitted = self.engine.borrow_mut().submit(now, submission);
         self.run_engine();
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -97,13 +97,6 @@
         self.version.get()
     }
 
-    /// Number of runners in session, and of followed runners.
-    pub(super) fn sessions(&self) -> (usize, usize) {
-        let links = self.links.borrow();
-        let in_session = links.values().filter(|link| link.current.is_active());
-        (in_session.count(), self.followed.borrow().len())
-    }
-
     fn is_followed(&self, agent: AgentId) -> bool {
         self.followed.borrow().contains(&agent)
     }
@@ -200,9 +193,6 @@
             current.begin(session, link.clone());
             self.stop_unwanted(agent, session, stops);
             self.run_engine();
-            if self.knows_capacity() {
-                self.release_held_jobs();
-            }
             let cause = tokio::select! {
                 () = connection.until_closed() => "closed",
                 cause = self.ping_runner(agent, session, link, current) => cause,
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -188,7 +188,6 @@
             queue: &queue(queue_name),
             spec: JobSpec::new(Bytes::from_static(b"work"), vec![step]),
             answer_deadline: self.now + DurationMs::new(1_500),
-            waited: DurationMs::new(0),
         };
         self.engine.submit(self.now, submission)
     }
--- a/crates/hemlock_nodes/tests/replay/mod.rs
+++ b/crates/hemlock_nodes/tests/replay/mod.rs
@@ -234,7 +234,6 @@
             queue: &kind.queue,
             spec: arrival.spec.clone(),
             answer_deadline: Instant::from_micros(deadline_us),
-            waited: DurationMs::new(0),
         };
         let now = Instant::from_micros(self.now_us);
         let state = &mut self.gateways[gateway];
