--- a/crates/hemlock_nodes/tests/load_reports.rs
+++ b/crates/hemlock_nodes/tests/load_reports.rs
@@ -59,3 +59,31 @@
     let many = reports.due_at(&load(9, 0), 80);
     assert!(many.since(now).as_ms() >= 8 * few.since(now).as_ms());
 }
+
+/// Guards against reports that take the processor time of a gateway that is short of it.
+#[test]
+fn a_gateway_that_answers_slowly_gets_fewer_reports() {
+    let now = Instant::from_ms(5_000);
+    let due_after_ms = |answer_us: u64| {
+        let mut reports = reported(now, load(10, 0));
+        reports.note_answered(answer_us);
+        let due = reports.due_at(&load(9, 0), GATEWAYS);
+        due.since(now).as_ms()
+    };
+    let fast_ms = due_after_ms(500);
+    assert!(due_after_ms(5_000) >= 2 * fast_ms);
+    // Still within half of a short task.
+    assert!(due_after_ms(50_000) <= 30);
+}
+
+/// Guards against reports of a load that the gateway knows from another message.
+#[test]
+fn a_message_that_carries_the_load_replaces_a_report() {
+    let now = Instant::from_ms(5_000);
+    let mut reports = reported(now, load(10, 0));
+    assert!(!reports.is_changed());
+    reports.note_changed();
+    assert!(reports.is_changed());
+    reports.note_sent(now, load(9, 0));
+    assert!(!reports.is_changed());
+}
--- a/crates/hemlock_quorum/tests/single_core.rs
+++ b/crates/hemlock_quorum/tests/single_core.rs
@@ -1,7 +1,7 @@
 //! Tests of a single core with handwritten messages: nothing is confirmed before it is durable.
 
 use bytes::Bytes;
-use hemlock_quorum::message::{Append, AppendReply, Body, VoteReply, VoteRequest};
+use hemlock_quorum::message::{Append, AppendReply, Body, RestartedVoter, VoteReply, VoteRequest};
 use hemlock_quorum::prelude::*;
 use hemlock_types::ids::Incarnation;
 use hemlock_types::time::{DurationMs, Instant};
@@ -235,3 +235,83 @@
     assert_eq!(core.quorum.status().commit, LogIndex(4));
     assert!(core.quorum.is_serving());
 }
+
+fn pre_vote_request(term: u64) -> (u64, Body) {
+    let request = VoteRequest {
+        pre_vote: true,
+        transfer: false,
+        leader_restarted: false,
+        last_index: LogIndex(3),
+        last_term: Term(1),
+    };
+    (term, Body::VoteRequest(request))
+}
+
+fn pre_vote_reply(restarted: Option<RestartedVoter>) -> Body {
+    Body::VoteReply(VoteReply {
+        pre_vote: true,
+        asked: Term(2),
+        granted: false,
+        restarted,
+    })
+}
+
+/// Guards against skipping the wait after a start although a leader may hold a lease.
+#[test]
+fn the_wait_after_a_start_is_skipped_only_if_the_leader_has_restarted() {
+    let cases = [
+        (None, false),
+        (Some(RestartedVoter { voted_for: None }), true),
+        (
+            Some(RestartedVoter {
+                voted_for: Some(OTHER),
+            }),
+            true,
+        ),
+        // The third keeper may have led and may still lead.
+        (
+            Some(RestartedVoter {
+                voted_for: Some(THIRD),
+            }),
+            false,
+        ),
+    ];
+    for (restarted, campaigns) in cases {
+        let mut core = Core::start();
+        core.receive(OTHER, 1, pre_vote_reply(restarted));
+        let is_candidate = core.quorum.role() == QuorumRole::Candidate;
+        assert_eq!(is_candidate, campaigns, "{restarted:?}");
+    }
+}
+
+/// Guards against a vote that breaks a lease which this keeper has acknowledged since its start.
+#[test]
+fn a_restarted_leader_is_no_proof_for_a_keeper_that_has_heard_from_another() {
+    for heard in [false, true] {
+        let mut core = Core::start();
+        if heard {
+            core.receive(THIRD, 1, append((3, 1), vec![]));
+        }
+        let request = VoteRequest {
+            pre_vote: false,
+            transfer: false,
+            leader_restarted: true,
+            last_index: LogIndex(3),
+            last_term: Term(1),
+        };
+        let asked = core.receive(OTHER, 2, Body::VoteRequest(request));
+        let is_vote = asked
+            .iter()
+            .any(|action| matches!(action, Action::Persist(_)));
+        assert_eq!(is_vote, !heard);
+        let (term, body) = pre_vote_request(3);
+        let replies = core.receive(OTHER, term, body);
+        let tells_restart = replies.iter().any(|action| match action {
+            Action::Send { message, .. } => {
+                matches!(message.body, Body::VoteReply(reply) if reply.restarted.is_some())
+            }
+            _ => false,
+        });
+        assert_eq!(tells_restart, !heard);
+    }
+}
