--- a/crates/hemlock_quorum/src/quorum.rs
+++ b/crates/hemlock_quorum/src/quorum.rs
@@ -73,8 +73,8 @@
     refuse_votes_until: Instant,
     /// Whether this keeper has neither led nor been in contact with a leader since it started.
     is_restarted: bool,
-    /// Until then, this keeper campaigns before others that have just started.
-    campaigns_first_until: Instant,
+    /// Until then, this keeper counts as just started.
+    just_started_until: Instant,
     election_deadline: Instant,
     next_request_at: Instant,
     join_requests: BTreeMap<KeeperId, JoinRequest>,
@@ -140,7 +140,7 @@
             ack_due: false,
             refuse_votes_until: Instant::ZERO,
             is_restarted: true,
-            campaigns_first_until: Instant::ZERO,
+            just_started_until: Instant::ZERO,
             election_deadline: Instant::ZERO,
             next_request_at: Instant::ZERO,
             join_requests: BTreeMap::new(),
@@ -197,7 +197,7 @@
         let wait_ms = lease_ms + lease_ms.div_ceil(CLOCK_DRIFT_DIVISOR);
         self.refuse_votes_until = self.now + DurationMs::new(wait_ms);
         self.election_deadline = self.now;
-        self.campaigns_first_until = self.now + DurationMs::new(self.config.election_max_ms);
+        self.just_started_until = self.now + DurationMs::new(self.config.election_max_ms);
         self.next_request_at = self.now;
         if let Some(snapshot) = &self.snapshot {
             self.out.push(Action::Restore(snapshot.clone()));
--- a/crates/hemlock_quorum/src/quorum/election.rs
+++ b/crates/hemlock_quorum/src/quorum/election.rs
@@ -14,8 +14,8 @@
 use crate::ids::{KeeperId, LogIndex, Term};
 use crate::message::{Body, RestartedVoter, VoteReply, VoteRequest};
 
-/// Number of requests in a heartbeat interval while a keeper that has just started looks for a
-/// leader. Without a leader, no caller is served.
+/// Number of requests in a heartbeat interval from a keeper that has just started. Without a leader,
+/// no caller is served.
 const RESTARTED_REQUESTS: u64 = 5;
 
 impl Quorum {
@@ -57,7 +57,7 @@
 
     /// Time between two vote or join requests to the same keeper.
     fn request_interval(&self) -> DurationMs {
-        match self.is_restarted {
+        match self.has_just_started() {
             true => DurationMs::new((self.config.heartbeat_ms / RESTARTED_REQUESTS).max(1)),
             false => self.heartbeat(),
         }
@@ -160,11 +160,16 @@
             && request.last_index == self.log.last_index();
         let is_same_term = term == self.hard_state.term.next();
         let campaigns = matches!(self.role, RoleState::PreCandidate(_));
-        let has_just_started = self.is_restarted && self.now < self.campaigns_first_until;
-        let is_rival = has_just_started && campaigns && self.config.id < candidate;
+        let is_rival = self.has_just_started() && campaigns && self.config.id < candidate;
         is_rival && has_equal_log && is_same_term
     }
 
+    /// Whether this keeper has started within the longest election timeout, and has had no contact
+    /// with a leader since.
+    fn has_just_started(&self) -> bool {
+        self.is_restarted && self.now < self.just_started_until
+    }
+
     /// What this keeper tells a candidate for `term`, if it has just started.
     fn restarted_voter(&self, term: Term) -> RestartedVoter {
         let is_same_term = term == self.hard_state.term.next();
