Space load reports by the delay of answers, not by the network's

Reports to a gateway were four times its answer time apart, also where the network alone makes the answer late.

--- a/crates/hemlock_nodes/src/load_reports.rs
+++ b/crates/hemlock_nodes/src/load_reports.rs
@@ -15,9 +15,10 @@
 /// Least time between two reports for each gateway that receives them, in microseconds. It bounds
 /// the processor time that a runner spends on reports.
 const MIN_INTERVAL_PER_GATEWAY_US: u64 = 700;
-/// Time between two reports to a gateway as a multiple of the time that it takes to answer one. It
-/// bounds the share of its processor time that a busy gateway spends on reports.
-const ANSWER_TIMES: u64 = 4;
+/// Time between two reports to a gateway as a multiple of the time by which it answers later than its
+/// fastest answer, which is the delay of the network. It bounds the share of its processor time that
+/// a busy gateway spends on reports.
+const ANSWER_DELAYS: u64 = 4;
 /// Longest time between two reports because of slow answers, in microseconds. It is shorter than the
 /// shortest tasks.
 const MAX_ANSWER_INTERVAL_US: u64 = 30_000;
@@ -78,6 +79,8 @@
     changed: bool,
     /// Mean time until an update is answered, in microseconds.
     answer_us: u64,
+    /// Shortest time until an update was answered, in microseconds; `None` before the first answer.
+    fastest_answer_us: Option<u64>,
 }
 
 impl LoadReports {
@@ -93,10 +96,12 @@
 
     /// Notes that an update was answered after `took_us` microseconds.
     pub fn note_answered(&mut self, took_us: u64) {
-        let earlier_us = match self.answer_us {
-            0 => took_us,
-            known => known,
+        let earlier_us = match self.fastest_answer_us {
+            None => took_us,
+            Some(_) => self.answer_us,
         };
+        let fastest_us = self.fastest_answer_us.unwrap_or(took_us);
+        self.fastest_answer_us = Some(fastest_us.min(took_us));
         let weighted_us = earlier_us * (ANSWER_WEIGHT_DIVISOR - 1) + took_us;
         self.answer_us = weighted_us / ANSWER_WEIGHT_DIVISOR;
     }
@@ -104,8 +109,10 @@
     /// Returns the instant at which the current load is to be reported, if `gateways` gateways
     /// receive reports.
     pub fn due_at(&self, current: &LoadSummary, gateways: usize) -> Instant {
-        let answer_interval_us = (self.answer_us * ANSWER_TIMES).min(MAX_ANSWER_INTERVAL_US);
-        let interval_us = answer_interval_us.max(MIN_INTERVAL_PER_GATEWAY_US * gateways as u64);
+        let fastest_us = self.fastest_answer_us.unwrap_or(self.answer_us);
+        let delay_us = self.answer_us.saturating_sub(fastest_us);
+        let delay_interval_us = (delay_us * ANSWER_DELAYS).min(MAX_ANSWER_INTERVAL_US);
+        let interval_us = delay_interval_us.max(MIN_INTERVAL_PER_GATEWAY_US * gateways as u64);
         let earliest = Instant::from_micros(self.sent_at.as_micros() + interval_us);
         match &self.sent {
             Some(sent) if sent == current => earliest.max(self.sent_at + MAX_AGE),
--- a/crates/hemlock_nodes/tests/load_reports.rs
+++ b/crates/hemlock_nodes/tests/load_reports.rs
@@ -66,12 +66,18 @@
     let now = Instant::from_ms(5_000);
     let due_after_ms = |answer_us: u64| {
         let mut reports = reported(now, load(10, 0));
-        reports.note_answered(answer_us);
+        reports.note_answered(500);
+        (0..20).for_each(|_| reports.note_answered(answer_us));
         let due = reports.due_at(&load(9, 0), GATEWAYS);
         due.since(now).as_ms()
     };
     let fast_ms = due_after_ms(500);
     assert!(due_after_ms(5_000) >= 2 * fast_ms);
+    // A slow network is no reason: the first answer is as slow as the others.
+    let mut far = reported(now, load(10, 0));
+    (0..20).for_each(|_| far.note_answered(5_000));
+    let far_ms = far.due_at(&load(9, 0), GATEWAYS).since(now).as_ms();
+    assert_eq!(far_ms, fast_ms);
     // Still within half of a short task.
     assert!(due_after_ms(50_000) <= 30);
 }
