--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -68,7 +68,7 @@
     };
     let mut site = Site::start(root, folder, &plan);
     site.make_ready(&configuration(1, 4));
-    let id = "5c0e7a21d94b36f8";
+    let id = "5c0e7a21d94b36fb";
     let path = format!("/lohu930/{id}");
     submit(
         &site,
@@ -146,14 +146,14 @@
     };
     let site = Site::start(root, folder, &plan);
     site.make_ready(&configuration(1, 2));
-    let kept_id = "5c0e7a21d94b36f8";
+    let kept_id = "5c0e7a21d94b36fb";
     let path = format!("/pule252/{kept_id}");
     let verdict = thread::scope(|scope| {
         let site = &site;
         if trouble {
             for n in 0..20_u64 {
                 scope.spawn(move || {
-                    let path = format!("/lohu930/b0000000000{n:03}b1");
+                    let path = format!("/lohu930/b0000000000{n:03}bb");
                     let more = ",\"constraints\":\"b\"";
                     let body = job("work=22000", true, &[phase(1, 6_200, 22_000, more)]);
                     site.client(n as usize % 2, "POST", &path, &body, 40_000)
@@ -181,7 +181,7 @@
     };
     let site = Site::start(root, folder, &plan);
     site.make_ready(&configuration(1, 2));
-    let id = "5c0e7a21d94b36f8";
+    let id = "5c0e7a21d94b36fb";
     let path = format!("/lohu930/{id}");
     let verdict = thread::scope(|scope| {
         let (site, path) = (&site, &path);
@@ -261,7 +261,7 @@
     let site = Site::start(root, folder, &plan);
     site.make_ready(&configuration(1, 2));
     const JOBS: usize = 8;
-    let id = |n: usize| format!("5c0e7a21d94b36{n:02x}");
+    let id = |n: usize| format!("5c0e7a21d94b3{n:02x}f");
     let frozen_ms = unix_ms();
     if trouble {
         site.record.note("frontend-0 freezes (SIGSTOP) for 0.7 s");
@@ -344,7 +344,7 @@
                     if is_over.load(Ordering::Relaxed) {
                         return;
                     }
-                    let path = format!("/lohu930/b{client:03}{n:012x}");
+                    let path = format!("/lohu930/b{client:03}{n:011x}f");
                     let work_ms = if client % 3 == 0 { 60 } else { 900 };
                     let body = job(
                         &format!("work={work_ms}"),
@@ -379,7 +379,7 @@
     site.runners = restarted;
     // All machines are in touch again, and the service is idle.
     pause(2_000);
-    let id = |n: usize| format!("5c0e7a21d94b36f{n}");
+    let id = |n: usize| format!("5c0e7a21d94b36{n}f");
     let path = |n: usize| format!("/pule252/{}", id(n));
     for (n, kind) in KINDS.iter().enumerate() {
         let more = format!(",\"constraints\":\"{kind}\"");
@@ -459,7 +459,7 @@
     };
     let site = Site::start(root, folder, &plan);
     site.make_ready(&configuration(1, 4));
-    let ids = ["5c0e7a21d94b36f8", "be0e7a21d94b36f8"];
+    let ids = ["5c0e7a21d94b36fb", "be0e7a21d94b36fb"];
     let is_of_case = |event: &Event| ids.iter().any(|id| event.task.starts_with(id));
     let verdict = thread::scope(|scope| {
         let site = &site;
@@ -603,7 +603,7 @@
     }
     // All machines are in touch again.
     pause(8_000);
-    let id = "5c0e7a21d94b36f8";
+    let id = "5c0e7a21d94b36fb";
     let path = format!("/lohu930/{id}");
     submit(
         &site,
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -455,19 +455,19 @@
             unable("the configuration isn't acknowledged");
         }
         let until = Instant::now() + Duration::from_secs(20);
-        let mut id = 0xee00_0000_0000_0000_u64;
+        let mut id = 0x0ee0_0000_0000_0000_u64;
         loop {
             let probe = job("work=30", true, &[phase(40, 6_000, 30, "")]);
             let mut served = true;
             for gateway in 0..self.gateways.len() {
                 id += 1;
-                let path = format!("/lohu930/{id:016x}");
+                let path = format!("/lohu930/{id:015x}f");
                 served &= matches!(
                     self.client(gateway, "POST", &path, &probe, 1_500),
                     Ok((200, _, _))
                 );
                 id += 1;
-                let path = format!("/lohu930/{id:016x}");
+                let path = format!("/lohu930/{id:015x}f");
                 let kept = job("work=30", false, &[phase(1, 6_000, 30, "")]);
                 served &= matches!(
                     self.client(gateway, "POST", &path, &kept, 1_500),
