Believe a restart of an instance only from the instance's own answers

Cause: a runner took any well-formed heartbeat for one of its instance. A name or start time that it didn't know counted as a restart, so all runs were reported as crashed and started elsewhere, and calls were addressed to the named instance, whose refusal (421) then counted as a second loss.

Change: only answers of the instance tell of a restart. A heartbeat that names another incarnation than the present one changes nothing until the instance that it names, asked at once over a new connection, has answered with the same start time. The related inputs, all in hemlock_runs:

- Reports restored from the leader's record are confirmed in the same way.
- A listing that was requested before a later answer, or before the present incarnation answered, is ignored; so are refused connections and 421 of such calls.
- A restart with a clock that was set back is believed from its heartbeat, too.
- After a restart the report of the earlier incarnation names no instance any more, so that starts meant for it are refused before the first heartbeat.
- A heartbeat in the instance's name that names another service is ignored, unless the next one names it as well.
- The instance's clock comes from its answers only.
A heartbeat let a new process extend leases of runs that it didn't know yet, while it took them for ended after the longest lease.

Gateways and coordinators learn of ends from runners only, so they need no change.

The random runs now send foreign heartbeats.

Existing tests pass the heartbeats through the same confirmation; what they assert is unchanged.

--- a/crates/hemlock_nodes/src/hedge.rs
+++ b/crates/hemlock_nodes/src/hedge.rs
@@ -90,6 +90,10 @@
     FirstAnswer { value, attempts }
 }
 
+fn is_listing_answer(result: &Result<Listing, ListError>) -> bool {
+    !matches!(result, Err(ListError::Unanswered))
+}
+
 impl InstanceDriver for HedgedDriver {
     fn start(&self, call: StartCall) -> LocalBoxFuture<'static, StartResult> {
         let (driver, background) = (Rc::clone(&self.driver), Rc::clone(&self.background));
@@ -125,17 +129,34 @@
         let resend_after = DurationMs::new(call.wait_ms + RESEND_AFTER.as_ms());
         async move {
             let make_call = || driver.list(call);
-            let is_answer =
-                |result: &Result<Listing, ListError>| !matches!(result, Err(ListError::Unanswered));
-            first_answer(
+            let answer = first_answer(
                 background,
                 resend_after,
                 MAX_LISTING_ATTEMPTS,
                 make_call,
-                is_answer,
-            )
-            .await
-            .value
+                is_listing_answer,
+            );
+            answer.await.value
+        }
+        .boxed_local()
+    }
+
+    fn identify(
+        &self,
+        name: String,
+        fence: u64,
+    ) -> LocalBoxFuture<'static, Result<Listing, ListError>> {
+        let (driver, background) = (Rc::clone(&self.driver), Rc::clone(&self.background));
+        async move {
+            let make_call = || driver.identify(name.clone(), fence);
+            let answer = first_answer(
+                background,
+                RESEND_AFTER,
+                MAX_LISTING_ATTEMPTS,
+                make_call,
+                is_listing_answer,
+            );
+            answer.await.value
         }
         .boxed_local()
     }
--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -35,7 +35,10 @@
             if self.runs.borrow().fence() != call.fence {
                 continue;
             }
+            let predates = self.runs.borrow().predates_incarnation(sent_at);
             match answer {
+                // The call failed at an incarnation that another one has replaced meanwhile.
+                Err(ListError::Gone | ListError::OtherInstance) if predates => {}
                 Ok(listing) => {
                     backoff.reset();
                     self.handle_listing(now, sent_at, &listing);
@@ -46,11 +49,11 @@
                     tokio::time::sleep(backoff.next_delay().as_std()).await;
                 }
                 Err(ListError::Gone) => {
-                    self.handle_instance_lost("gone");
+                    self.handle_instance_lost(sent_at, "gone");
                     self.delay_listing(GONE_DELAY).await;
                 }
                 Err(ListError::OtherInstance) => {
-                    self.handle_instance_lost("another");
+                    self.handle_instance_lost(sent_at, "another");
                     self.driver.set_target(None);
                 }
                 Err(ListError::Fenced) => {
@@ -98,8 +101,9 @@
         self.report_outcomes();
     }
 
-    fn handle_instance_lost(self: &Rc<Self>, cause: &'static str) {
-        let change = self.runs.borrow_mut().instance_lost(self.clock.now());
+    fn handle_instance_lost(self: &Rc<Self>, asked_at: Instant, cause: &'static str) {
+        let now = self.clock.now();
+        let change = self.runs.borrow_mut().instance_lost(now, asked_at);
         self.report_instance_lost(change, cause);
     }
 
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -3,6 +3,7 @@
 
 mod error;
 mod gateways;
+mod heartbeats;
 mod listing;
 mod service;
 mod session;
@@ -65,6 +66,8 @@
     leader_adopted: Cell<bool>,
     /// Whether the instance was suspended when this was last logged.
     suspended: Cell<bool>,
+    /// Number of heartbeats that wait for an answer of the instance that they name.
+    unconfirmed_heartbeats: Cell<usize>,
     clock: SystemClock,
     /// Notified when the next listing must not wait for its delay.
     listing_due: Notify,
@@ -92,6 +95,7 @@
                 gateways: Gateways::default(),
                 leader_adopted: Cell::new(false),
                 suspended: Cell::new(false),
+                unconfirmed_heartbeats: Cell::new(0),
                 clock,
                 listing_due: Notify::new(),
                 load_reports_due: Notify::new(),
@@ -130,8 +134,8 @@
     /// process have expired.
     fn knows_runs(&self) -> bool {
         let mut runs = self.runs.borrow_mut();
-        // The clock starts at zero with this process, which renews no lease before its first
-        // listing.
+        // The clock starts at zero with this process, which knows no time on the instance's clock,
+        // and so renews no lease, before its first listing.
         let longest_lease = runs.longest_lease();
         if self.clock.now() > Instant::ZERO + longest_lease + LEASE_MARGIN {
             runs.note_leases_expired();
@@ -174,35 +178,6 @@
         metrics::gauge!("hemlock_runner_share_cpu_milli", "rank" => "smallest").set(smallest);
     }
 
-    /// Handles a heartbeat of the instance.
-    pub fn handle_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
-        let name = heartbeat.instance.id.name.clone();
-        let domain = heartbeat.instance.failure_domain.clone();
-        let draining = heartbeat.instance.draining;
-        let is_cold = heartbeat.cold_left_ms > 0;
-        let change = self
-            .runs
-            .borrow_mut()
-            .heartbeat_received(self.clock.now(), heartbeat);
-        if is_cold {
-            self.note_load_changed();
-        }
-        if change != InstanceChange::None {
-            info!(event = "instance-beat", instance = name, domain, draining, change = ?change);
-            self.driver.set_target(Some(name));
-            self.listing_due.notify_one();
-        }
-        self.report_instance_change(change);
-    }
-
-    /// Handles the instance's notice that it shuts down.
-    pub fn handle_leave(self: &Rc<Self>, name: &str) {
-        info!(event = "instance-left", instance = name);
-        let change = self.runs.borrow_mut().instance_left(name);
-        self.report_instance_change(change);
-        self.listing_due.notify_one();
-    }
-
     /// Refuses starts in the evacuated failure domains from now on, and tells the gateways at once
     /// what they may order. Returns whether the evacuations are newer than the known ones.
     fn note_evacuations(self: &Rc<Self>, evacuations: &Evacuations) -> bool {
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hemlock_dispatch::prelude::{InstanceReport, SessionId};
+use hemlock_dispatch::prelude::SessionId;
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
@@ -89,21 +89,6 @@
         Some(session)
     }
 
-    /// Restores the instance reported by an earlier process, provided that the instance has not
-    /// restarted since.
-    fn restore_instance(self: &Rc<Self>, reported: Option<InstanceReport>) {
-        let Some(reported) = reported else {
-            return;
-        };
-        let name = reported.id.name.clone();
-        let change = self.runs.borrow_mut().restore_instance(reported);
-        if change != InstanceChange::None {
-            info!(event = "instance-noted", instance = name);
-            self.driver.set_target(Some(name));
-        }
-        self.report_instance_change(change);
-    }
-
     /// Waits until all runs on the instance are known: it has listed them, or no run of an earlier
     /// process can be alive any more.
     async fn wait_until_runs_known(&self) {
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -80,7 +80,6 @@
 fn heartbeat(agent: AgentId, born_ms: u64) -> Heartbeat {
     Heartbeat {
         instance: instance(agent, born_ms),
-        clock_ms: 0,
         sequence: 1,
         cold_left_ms: 0,
     }
@@ -117,6 +116,15 @@
     side.runs.handle_listing(now, now, &listing);
 }
 
+/// Passes the first heartbeat of a new incarnation to its runner, confirmed by a listing.
+fn report_instance(side: &mut Side, agent: AgentId, now: Instant) {
+    let answer = side.model.identify(side.runs.fence());
+    let listing = answer.expect("no later process calls");
+    let heartbeat = heartbeat(agent, side.born_ms);
+    let confirmed = side.runs.confirm_heartbeat(now, now, &heartbeat, &listing);
+    confirmed.expect("the heartbeat is of this incarnation");
+}
+
 impl Fleet {
     /// Lets the first task of a job crash any instance that starts it.
     fn mark_deadly(&mut self, id: u64) -> TaskKey {
@@ -147,18 +155,16 @@
         });
         let mut sides = BTreeMap::new();
         for agent in (0..RUNNERS).map(AgentId) {
-            let mut runs = Runs::new(RunsSettings::default(), 1, now);
-            let model = InstanceModel::new(1);
-            runs.heartbeat_received(now, heartbeat(agent, 1));
+            let runs = Runs::new(RunsSettings::default(), 1, now);
             let (session, _) = engine.begin_session(now, agent);
             let mut side = Side {
                 runs,
-                model,
+                model: InstanceModel::new(1),
                 session,
                 born_ms: 1,
                 ends_at: BTreeMap::new(),
             };
-            list(&mut side, now);
+            report_instance(&mut side, agent, now);
             let inventory = side.runs.attach(now, OWNER, session, &[]);
             let load = side.runs.load_report(now, OWNER);
             engine.attached(now, agent, session, &inventory, load);
@@ -240,7 +246,7 @@
             }
             if let Some(task) = crashed {
                 *self.crashes.entry(task).or_default() += 1;
-                side.runs.instance_lost(self.now);
+                side.runs.instance_lost(self.now, self.now);
                 self.back_at.insert(agent, self.now + OUTAGE);
                 self.send_update(agent, true);
             }
@@ -260,9 +266,7 @@
                 side.born_ms += 1;
                 side.model = InstanceModel::new(side.born_ms);
                 side.ends_at.clear();
-                let beat = heartbeat(agent, side.born_ms);
-                side.runs.heartbeat_received(self.now, beat);
-                list(side, self.now);
+                report_instance(side, agent, self.now);
                 self.send_update(agent, true);
             }
         }
--- a/crates/hemlock_nodes/tests/hedge.rs
+++ b/crates/hemlock_nodes/tests/hedge.rs
@@ -59,6 +59,10 @@
         .boxed_local()
     }
 
+    fn identify(&self, _: String, _: u64) -> LocalBoxFuture<'static, Result<Listing, ListError>> {
+        unreachable!("no heartbeat arrives here")
+    }
+
     fn set_target(&self, _: Option<String>) {}
 }
 
--- a/crates/hemlock_nodes/tests/replay/evacuation.rs
+++ b/crates/hemlock_nodes/tests/replay/evacuation.rs
@@ -126,11 +126,10 @@
         let left_us = state.cold_until_us.saturating_sub(self.now_us);
         let heartbeat = Heartbeat {
             instance,
-            clock_ms: state.model.clock_ms,
             sequence: state.heartbeat_count,
             cold_left_ms: left_us / 1_000,
         };
-        state.runs.heartbeat_received(now, heartbeat);
+        state.runs.heartbeat_received(now, &heartbeat);
         self.send_outcomes(runner);
         for gateway in self.runners[runner].owners.clone() {
             self.send_update(runner, gateway, Report::default());
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -70,13 +70,12 @@
             let mut model = InstanceModel::new(1);
             let heartbeat = Heartbeat {
                 instance: instance(&self.deployment, runner),
-                clock_ms: 0,
                 sequence: 1,
                 cold_left_ms: 0,
             };
-            runs.heartbeat_received(now, heartbeat);
             let listing = model.list(&list_call(&mut runs, now)).expect("no fence");
-            runs.handle_listing(now, now, &listing);
+            let confirmed = runs.confirm_heartbeat(now, now, &heartbeat, &listing);
+            confirmed.expect("the heartbeat is of this instance");
             self.runners.push(Runner {
                 runs,
                 model,
--- a/crates/hemlock_runs/src/driver.rs
+++ b/crates/hemlock_runs/src/driver.rs
@@ -136,6 +136,15 @@
     /// Sends a request to renew the lease and to list the runs.
     fn list(&self, call: ListCall) -> LocalBoxFuture<'static, Result<Listing, ListError>>;
 
+    /// Requests a listing from the instance `name`, whatever the target is. It neither renews the
+    /// lease nor discards ends. Another instance at the address answers with
+    /// [`ListError::OtherInstance`].
+    fn identify(
+        &self,
+        name: String,
+        fence: u64,
+    ) -> LocalBoxFuture<'static, Result<Listing, ListError>>;
+
     /// Sets the name of the instance that later calls are meant for, so that another instance at
     /// the address rejects them; `None` accepts any instance.
     fn set_target(&self, name: Option<String>);
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -1,6 +1,7 @@
 //! State of the runs at one instance, of the owners that order them, and of the instance's lease.
 
 mod crashes;
+mod incarnation;
 mod listing;
 mod orders;
 mod owners;
@@ -9,13 +10,15 @@
 mod start_limit;
 
 use crashes::CrashReports;
+use incarnation::IncarnationState;
+pub use incarnation::{Heartbeat, HeartbeatOutcome, InstanceChange};
 pub use owners::Claim;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use hemlock_dispatch::prelude::{
-    InstanceId, InstanceReport, LoadReport, REPORTED_ENDS, RefusalReason, RunEnd, RunReport,
-    SessionId, URGENCY_LEVELS, longest_lease,
+    InstanceReport, LoadReport, REPORTED_ENDS, RefusalReason, RunEnd, RunReport, SessionId,
+    URGENCY_LEVELS, longest_lease,
 };
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
@@ -82,32 +85,6 @@
     }
 }
 
-/// Periodic status report of an instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// Identity, capacity and state of the instance.
-    pub instance: InstanceReport,
-    /// Time on the instance's clock, in milliseconds.
-    pub clock_ms: u64,
-    /// Increases with each heartbeat since the instance was started, so that late ones are
-    /// detected.
-    pub sequence: u64,
-    /// Time for which the instance will still be slow, in milliseconds; zero if it isn't, or if it
-    /// doesn't report it.
-    pub cold_left_ms: u64,
-}
-
-/// Change of the instance that its owners must be told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum InstanceChange {
-    /// No change.
-    None,
-    /// The instance's report or reachability has changed; its runs continue.
-    Updated,
-    /// All runs known before have ended.
-    RunsLost,
-}
-
 /// What a process does after the instance has rejected its fencing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FenceAction {
@@ -205,11 +182,7 @@
     /// Failure domains in which nothing is started.
     evacuations: Evacuations,
     cold: ColdPhase,
-    /// Highest sequence number of the instance's heartbeats.
-    max_sequence: u64,
-    /// Start time of the instance in Unix milliseconds, which tells a restarted instance from the
-    /// one before.
-    instance_born_ms: Option<u64>,
+    incarnation: IncarnationState,
     /// Pace of the current incarnation of the instance.
     pace: Pace,
     /// Whether the instance has answered a listing since it was started or last lost.
@@ -266,8 +239,7 @@
             instance: None,
             evacuations: Evacuations::default(),
             cold: ColdPhase::default(),
-            max_sequence: 0,
-            instance_born_ms: None,
+            incarnation: IncarnationState::default(),
             pace: Pace::default(),
             reachable: false,
             clock: None,
@@ -550,121 +522,6 @@
         self.table.values().any(|tracked| tracked.needs.is_none())
     }
 
-    /// Handles a heartbeat of the instance. Late heartbeats are ignored.
-    pub fn heartbeat_received(&mut self, now: Instant, heartbeat: Heartbeat) -> InstanceChange {
-        let born_ms = heartbeat.instance.id.born_ms;
-        let known = self.instance.as_ref();
-        let same_id = known.is_some_and(|known| known.id == heartbeat.instance.id);
-        match self.instance_born_ms {
-            Some(current) if born_ms < current => return InstanceChange::None,
-            _ if same_id && heartbeat.sequence <= self.max_sequence => return InstanceChange::None,
-            _ => {}
-        }
-        let restarted = self.note_instance_start(now, born_ms);
-        self.max_sequence = heartbeat.sequence;
-        if restarted || !same_id {
-            self.clock = None;
-        }
-        // A heartbeat may arrive late with an old clock reading, so readings of listings are
-        // preferred.
-        if self.clock.is_none() {
-            self.note_clock(now, heartbeat.clock_ms);
-        }
-        let changed = self.instance.as_ref() != Some(&heartbeat.instance);
-        let draining = heartbeat.instance.draining;
-        self.instance = Some(heartbeat.instance);
-        self.note_cold_left(now, heartbeat.cold_left_ms);
-        self.refuse_queue_if_evacuated();
-        self.refuse_oversized_starts();
-        if draining {
-            self.refuse_queue(RefusalReason::NoInstance);
-        }
-        match (restarted, changed) {
-            (true, _) => InstanceChange::RunsLost,
-            (false, true) => InstanceChange::Updated,
-            (false, false) => InstanceChange::None,
-        }
-    }
-
-    /// Restores the instance report that an earlier process of this agent received, if the same
-    /// instance has answered a listing and has not sent a heartbeat to this process yet.
-    pub fn restore_instance(&mut self, recorded: InstanceReport) -> InstanceChange {
-        let same_instance =
-            self.instance_born_ms == Some(recorded.id.born_ms) && recorded.id.born_ms > 0;
-        match self.instance {
-            None if same_instance && self.reachable => {
-                self.instance = Some(recorded);
-                InstanceChange::Updated
-            }
-            _ => InstanceChange::None,
-        }
-    }
-
-    /// Handles the loss of the instance, whose process has exited.
-    pub fn instance_lost(&mut self, now: Instant) -> InstanceChange {
-        self.note_lost(now, Loss::Exit)
-    }
-
-    fn note_lost(&mut self, now: Instant, loss: Loss) -> InstanceChange {
-        let was_present = self.reachable || !self.table.is_empty();
-        self.reachable = false;
-        self.end_all_runs(now, loss);
-        match was_present {
-            true => InstanceChange::RunsLost,
-            false => InstanceChange::None,
-        }
-    }
-
-    /// Handles the deregistration of the instance `name`: it counts as draining, and its queued
-    /// starts are refused.
-    pub fn instance_left(&mut self, name: &str) -> InstanceChange {
-        match &mut self.instance {
-            Some(instance) if instance.id.name == name && !instance.draining => {
-                instance.draining = true;
-                self.refuse_queue(RefusalReason::NoInstance);
-                InstanceChange::Updated
-            }
-            _ => InstanceChange::None,
-        }
-    }
-
-    /// Whether starts that are meant for the instance `meant` can be executed by the current one.
-    fn accepts_starts_for(&self, meant: &Option<InstanceId>) -> bool {
-        match (self.instance(), meant) {
-            (Some(instance), Some(meant)) => instance.id == *meant && !instance.draining,
-            (None, _) | (_, None) => false,
-        }
-    }
-
-    /// Updates the instance's start time. Returns true if the instance has been restarted, which
-    /// ends all its runs.
-    fn note_instance_start(&mut self, now: Instant, born_ms: u64) -> bool {
-        let restarted = self
-            .instance_born_ms
-            .is_some_and(|current| current != born_ms);
-        if self.instance_born_ms != Some(born_ms) {
-            self.instance_born_ms = Some(born_ms);
-            self.pace = Pace::default();
-            self.ends.clear();
-            self.settled = 0;
-            self.max_sequence = 0;
-            self.lease_until_max_ms = 0;
-        }
-        if restarted {
-            self.breaker = Breaker::default();
-            self.end_all_runs(now, Loss::Exit);
-            self.report_silent_crashes(now);
-            self.reachable = false;
-            self.clock = None;
-            self.cold = ColdPhase::default();
-        }
-        restarted
-    }
-
-    fn note_clock(&mut self, at: Instant, clock_ms: u64) {
-        self.clock = Some(ClockReading { clock_ms, at });
-    }
-
     /// Remembers an end and reports it to the owner.
     fn report_end(
         &mut self,
--- /dev/null
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -0,0 +1,217 @@
+//! Which incarnation of the instance is present, and its reports about itself.
+//!
+//! A heartbeat may arrive late, or come from another writer than the instance. One that names
+//! another incarnation than the present one therefore proves nothing: believing it would report
+//! runs as ended that continue. Only answers of the instance itself tell of a restart.
+
+use hemlock_dispatch::prelude::{InstanceId, InstanceReport, RefusalReason};
+use hemlock_types::time::Instant;
+
+use super::start_limit::ColdPhase;
+use super::{ClockReading, DriverCall, Loss, Runs};
+use crate::breaker::Breaker;
+use crate::driver::Listing;
+use crate::pace::Pace;
+
+/// Periodic status report of an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Identity, capacity and state of the instance.
+    pub instance: InstanceReport,
+    /// Increases with each heartbeat since the instance was started, so that late ones are
+    /// detected.
+    pub sequence: u64,
+    /// Time for which the instance will still be slow, in milliseconds; zero if it isn't, or if it
+    /// doesn't report it.
+    pub cold_left_ms: u64,
+}
+
+/// Change of the instance that its owners must be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstanceChange {
+    /// No change.
+    None,
+    /// The instance's report or reachability has changed; its runs continue.
+    Updated,
+    /// All runs known before have ended.
+    RunsLost,
+}
+
+/// How a heartbeat was handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeartbeatOutcome {
+    /// The heartbeat is of the present incarnation, or is ignored.
+    Handled(InstanceChange),
+    /// The heartbeat names another incarnation than the present one, and nothing has changed. It
+    /// must be passed to [`Runs::confirm_heartbeat`] with an answer of the instance that it names.
+    Unconfirmed,
+}
+
+/// What is known about the present incarnation of the instance.
+#[derive(Clone, Debug, Default)]
+pub(super) struct IncarnationState {
+    /// Start time in Unix milliseconds, as the instance answered; `None` before the first answer.
+    born_ms: Option<u64>,
+    /// Time at which the first answer of this incarnation was received.
+    since: Instant,
+    /// Highest sequence number of its heartbeats.
+    max_sequence: u64,
+    /// A service that its latest heartbeat named and its earlier ones did not.
+    other_service: Option<String>,
+}
+
+impl Runs {
+    /// Handles a heartbeat. Late heartbeats of the present incarnation are ignored.
+    pub fn heartbeat_received(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatOutcome {
+        let present = self.instance.as_ref().map(|instance| &instance.id);
+        match present == Some(&heartbeat.instance.id) {
+            true => HeartbeatOutcome::Handled(self.note_heartbeat(now, heartbeat)),
+            false => HeartbeatOutcome::Unconfirmed,
+        }
+    }
+
+    /// Handles a heartbeat of an unconfirmed incarnation after the instance that it names has
+    /// answered a request sent at `asked_at` with `listing`. Returns the change and the calls that
+    /// must follow, or `None` if the answer is not of the incarnation that the heartbeat names.
+    pub fn confirm_heartbeat(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        heartbeat: &Heartbeat,
+        listing: &Listing,
+    ) -> Option<(InstanceChange, Vec<DriverCall>)> {
+        let born_ms = heartbeat.instance.id.born_ms;
+        if listing.born_ms != born_ms || self.is_outdated(asked_at, born_ms) {
+            return None;
+        }
+        let is_present = self.reachable && self.incarnation.born_ms == Some(born_ms);
+        let (change, calls) = match is_present {
+            true => (InstanceChange::None, Vec::new()),
+            false => self.handle_listing(now, asked_at, listing),
+        };
+        match (change, self.note_heartbeat(now, heartbeat)) {
+            (InstanceChange::RunsLost, _) => Some((InstanceChange::RunsLost, calls)),
+            (_, InstanceChange::None) => Some((change, calls)),
+            (_, changed) => Some((changed, calls)),
+        }
+    }
+
+    /// Takes over a heartbeat of the present incarnation.
+    fn note_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> InstanceChange {
+        let report = &heartbeat.instance;
+        let known = self.instance.as_ref().filter(|known| known.id == report.id);
+        if known.is_some() && heartbeat.sequence <= self.incarnation.max_sequence {
+            return InstanceChange::None;
+        }
+        if known.is_some_and(|known| known.service != report.service)
+            && self.incarnation.other_service.as_ref() != Some(&report.service)
+        {
+            // An incarnation stays with its service, so this is of another writer. If the next
+            // heartbeat names the same service, the earlier one was.
+            self.incarnation.other_service = Some(report.service.clone());
+            return InstanceChange::None;
+        }
+        self.incarnation.other_service = None;
+        self.incarnation.max_sequence = heartbeat.sequence;
+        let changed = self.instance.as_ref() != Some(report);
+        self.instance = Some(report.clone());
+        self.note_cold_left(now, heartbeat.cold_left_ms);
+        self.refuse_queue_if_evacuated();
+        self.refuse_oversized_starts();
+        if report.draining {
+            self.refuse_queue(RefusalReason::NoInstance);
+        }
+        match changed {
+            true => InstanceChange::Updated,
+            false => InstanceChange::None,
+        }
+    }
+
+    /// Whether a request sent at `asked_at` may have been answered, or refused, before the present
+    /// incarnation was started. Only later requests tell that it has exited.
+    pub fn predates_incarnation(&self, asked_at: Instant) -> bool {
+        asked_at < self.incarnation.since
+    }
+
+    /// Whether an answer to a request sent at `asked_at` may be older than what is known: answers
+    /// on different connections may overtake each other.
+    pub(super) fn is_outdated(&self, asked_at: Instant, born_ms: u64) -> bool {
+        let is_other = self.incarnation.born_ms != Some(born_ms);
+        asked_at < self.last_answered_request_at
+            || (is_other && self.predates_incarnation(asked_at))
+    }
+
+    /// Handles the loss of the instance, whose process has exited, as shown by a call made at
+    /// `asked_at`.
+    pub fn instance_lost(&mut self, now: Instant, asked_at: Instant) -> InstanceChange {
+        match self.predates_incarnation(asked_at) {
+            true => InstanceChange::None,
+            false => self.note_lost(now, Loss::Exit),
+        }
+    }
+
+    pub(super) fn note_lost(&mut self, now: Instant, loss: Loss) -> InstanceChange {
+        let was_present = self.reachable || !self.table.is_empty();
+        self.reachable = false;
+        self.end_all_runs(now, loss);
+        match was_present {
+            true => InstanceChange::RunsLost,
+            false => InstanceChange::None,
+        }
+    }
+
+    /// Handles the deregistration of the instance `name`: it counts as draining, and its queued
+    /// starts are refused.
+    pub fn instance_left(&mut self, name: &str) -> InstanceChange {
+        match &mut self.instance {
+            Some(instance) if instance.id.name == name && !instance.draining => {
+                instance.draining = true;
+                self.refuse_queue(RefusalReason::NoInstance);
+                InstanceChange::Updated
+            }
+            _ => InstanceChange::None,
+        }
+    }
+
+    /// Whether starts that are meant for the instance `meant` can be executed by the current one.
+    pub(super) fn accepts_starts_for(&self, meant: &Option<InstanceId>) -> bool {
+        match (self.instance(), meant) {
+            (Some(instance), Some(meant)) => instance.id == *meant && !instance.draining,
+            (None, _) | (_, None) => false,
+        }
+    }
+
+    /// Updates the start time of the instance with one that the instance has answered. Returns true
+    /// if the instance has been restarted, which ends all its runs.
+    pub(super) fn note_instance_start(&mut self, now: Instant, born_ms: u64) -> bool {
+        let known_ms = self.incarnation.born_ms;
+        if known_ms == Some(born_ms) {
+            return false;
+        }
+        self.incarnation = IncarnationState {
+            born_ms: Some(born_ms),
+            since: now,
+            ..IncarnationState::default()
+        };
+        self.pace = Pace::default();
+        self.ends.clear();
+        self.settled = 0;
+        self.lease_until_max_ms = 0;
+        if known_ms.is_none() {
+            return false;
+        }
+        self.breaker = Breaker::default();
+        self.end_all_runs(now, Loss::Exit);
+        self.report_silent_crashes(now);
+        // The new incarnation may have another name, service or kind.
+        self.instance = None;
+        self.reachable = false;
+        self.clock = None;
+        self.cold = ColdPhase::default();
+        true
+    }
+
+    pub(super) fn note_clock(&mut self, at: Instant, clock_ms: u64) {
+        self.clock = Some(ClockReading { clock_ms, at });
+    }
+}
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -18,13 +18,16 @@
     /// Handles a listing that was requested at `asked_at`, and returns the calls that must follow.
     ///
     /// The first listing after the instance was unreachable shows the runs that an earlier process
-    /// left.
+    /// left. A listing that may be older than an earlier answer is ignored.
     pub fn handle_listing(
         &mut self,
         now: Instant,
         asked_at: Instant,
         listing: &Listing,
     ) -> (InstanceChange, Vec<DriverCall>) {
+        if self.is_outdated(asked_at, listing.born_ms) {
+            return (InstanceChange::None, Vec::new());
+        }
         let restarted = self.note_instance_start(now, listing.born_ms);
         self.note_clock(now, listing.clock_ms);
         let first = !self.reachable;
--- a/crates/hemlock_runs/tests/crashes.rs
+++ b/crates/hemlock_runs/tests/crashes.rs
@@ -27,7 +27,7 @@
     harness.advance_ms(30);
     harness.start(GATEWAY, 1, 2, 6_000);
     harness.advance_ms(9);
-    harness.runs.instance_lost(harness.now);
+    harness.runs.instance_lost(harness.now, harness.now);
     let expected = vec![
         (task(1), Some(RunEnd::Crashed(Suspicion::Weak))),
         (task(2), Some(RunEnd::Crashed(Suspicion::Strong))),
@@ -42,7 +42,7 @@
     harness.attach(GATEWAY, 1, &[]);
     harness.start(GATEWAY, 1, 1, 6_000);
     harness.heartbeat(true);
-    harness.runs.instance_lost(harness.now);
+    harness.runs.instance_lost(harness.now, harness.now);
     let expected = vec![(task(1), Some(RunEnd::Lapsed))];
     assert_eq!(take_ends(&mut harness), expected);
 }
@@ -85,7 +85,7 @@
     let mut harness = Harness::new();
     harness.runs.attach_leader(harness.now, SessionId(1));
     harness.start(Owner::Leader, 1, 1, 6_000);
-    harness.runs.instance_lost(harness.now);
+    harness.runs.instance_lost(harness.now, harness.now);
     assert_eq!(harness.runs.take_gateway_outbox(), vec![]);
     let crashed = RunEnd::Crashed(Suspicion::Strong);
     assert_eq!(take_ends(&mut harness), vec![(task(1), Some(crashed))]);
@@ -97,7 +97,7 @@
     let mut harness = Harness::new();
     harness.runs.attach_leader(harness.now, SessionId(1));
     harness.start(Owner::Leader, 1, 1, 6_000);
-    harness.runs.instance_lost(harness.now);
+    harness.runs.instance_lost(harness.now, harness.now);
     harness.runs.take_outbox();
     harness.advance_ms(20_000);
     let inventory = harness.runs.attach_leader(harness.now, SessionId(2));
--- a/crates/hemlock_runs/tests/harness/mod.rs
+++ b/crates/hemlock_runs/tests/harness/mod.rs
@@ -14,6 +14,8 @@
     memory_mb: 262_144,
     accelerators: 0,
 };
+/// Name of the instance in all its incarnations.
+pub(crate) const INSTANCE_NAME: &str = "i-1";
 /// Fencing token of the first agent process; later ones take higher tokens.
 pub(crate) const FENCE: u64 = 100;
 
@@ -37,7 +39,7 @@
 pub(crate) fn instance(born_ms: u64) -> InstanceReport {
     InstanceReport {
         id: InstanceId {
-            name: "i-1".to_owned(),
+            name: INSTANCE_NAME.to_owned(),
             born_ms,
         },
         service: "listings".to_owned(),
@@ -88,11 +90,34 @@
         report.draining = draining;
         let heartbeat = Heartbeat {
             instance: report,
-            clock_ms: self.model.clock_ms,
             sequence: self.heartbeat_count,
             cold_left_ms: 0,
         };
-        self.runs.heartbeat_received(self.now, heartbeat)
+        self.receive(&heartbeat)
+    }
+
+    /// Passes a heartbeat to the agent. If the agent needs an answer of the instance that the
+    /// heartbeat names, the model answers.
+    pub(crate) fn receive(&mut self, heartbeat: &Heartbeat) -> InstanceChange {
+        if let HeartbeatOutcome::Handled(change) = self.runs.heartbeat_received(self.now, heartbeat)
+        {
+            return change;
+        }
+        if heartbeat.instance.id.name != INSTANCE_NAME {
+            // The model refuses calls that are meant for another instance.
+            return InstanceChange::None;
+        }
+        let fence = self.runs.fence();
+        let answer = self.model.identify(fence);
+        let listing = answer.expect("the call carries the highest fencing token");
+        let confirmed = self
+            .runs
+            .confirm_heartbeat(self.now, self.now, heartbeat, &listing);
+        let Some((change, calls)) = confirmed else {
+            return InstanceChange::None;
+        };
+        self.execute(calls);
+        change
     }
 
     /// Creates the agent's next listing call, which renews the lease if that is allowed.
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -462,26 +462,18 @@
     late.draining = true;
     let heartbeat = Heartbeat {
         instance: late,
-        clock_ms: 10,
         sequence: 99,
         cold_left_ms: 0,
     };
-    assert_eq!(
-        harness.runs.heartbeat_received(harness.now, heartbeat),
-        InstanceChange::None
-    );
+    assert_eq!(harness.receive(&heartbeat), InstanceChange::None);
     let mut earlier = instance(5);
     earlier.draining = true;
     let heartbeat = Heartbeat {
         instance: earlier,
-        clock_ms: 10,
         sequence: 1,
         cold_left_ms: 0,
     };
-    assert_eq!(
-        harness.runs.heartbeat_received(harness.now, heartbeat),
-        InstanceChange::None
-    );
+    assert_eq!(harness.receive(&heartbeat), InstanceChange::None);
 }
 
 #[test]
@@ -559,20 +551,20 @@
 #[test]
 fn a_new_process_restores_the_recorded_instance_only_if_it_has_not_restarted() {
     let mut harness = Harness::just_started(InstanceModel::new(5), FENCE + 1);
+    let recorded = |born_ms: u64| Heartbeat {
+        instance: instance(born_ms),
+        sequence: 0,
+        cold_left_ms: 0,
+    };
     assert_eq!(
-        harness.runs.restore_instance(instance(5)),
-        InstanceChange::None,
-        "the instance has not answered a listing"
+        harness.runs.heartbeat_received(harness.now, &recorded(5)),
+        HeartbeatOutcome::Unconfirmed,
+        "the instance has not answered yet"
     );
+    assert_eq!(harness.runs.instance(), None);
     harness.list();
-    assert_eq!(
-        harness.runs.restore_instance(instance(4)),
-        InstanceChange::None
-    );
-    assert_eq!(
-        harness.runs.restore_instance(instance(5)),
-        InstanceChange::Updated
-    );
+    assert_eq!(harness.receive(&recorded(4)), InstanceChange::None);
+    assert_eq!(harness.receive(&recorded(5)), InstanceChange::Updated);
     harness.attach(GATEWAY, 1, &[]);
     harness.start(GATEWAY, 1, 1, 6_000);
     assert_eq!(
@@ -580,10 +572,7 @@
         InstanceChange::Updated,
         "a heartbeat takes precedence over the restored report"
     );
-    assert_eq!(
-        harness.runs.restore_instance(instance(5)),
-        InstanceChange::None
-    );
+    assert_eq!(harness.receive(&recorded(5)), InstanceChange::None);
 }
 
 #[test]
--- a/crates/hemlock_runs/tests/shrinking_capacity.rs
+++ b/crates/hemlock_runs/tests/shrinking_capacity.rs
@@ -13,11 +13,10 @@
     report.capacity = capacity;
     let heartbeat = Heartbeat {
         instance: report,
-        clock_ms: harness.model.clock_ms,
         sequence,
         cold_left_ms: 0,
     };
-    harness.runs.heartbeat_received(harness.now, heartbeat);
+    harness.receive(&heartbeat);
 }
 
 fn room(cpu_milli: u64, accelerators: u64) -> Resources {
--- a/crates/hemlock_runs/tests/simulation/runners.rs
+++ b/crates/hemlock_runs/tests/simulation/runners.rs
@@ -67,7 +67,7 @@
                 "task {task} of {gateway:?} has crashed {crashes} instances"
             );
         }
-        let change = runner.runs.instance_lost(now);
+        let change = runner.runs.instance_lost(now, now);
         self.report_instance_change(index, change);
     }
 
@@ -95,12 +95,17 @@
             };
             let heartbeat = Heartbeat {
                 instance: instance(index, runner.model.born_ms, runner.capacity),
-                clock_ms: runner.model.clock_ms,
                 sequence: runner.heartbeat_count,
                 cold_left_ms: runner.cold_until_ms.saturating_sub(now_ms),
             };
-            let change = runner.runs.heartbeat_received(now, heartbeat);
-            self.report_instance_change(index, change);
+            match runner.runs.heartbeat_received(now, &heartbeat) {
+                HeartbeatOutcome::Handled(change) => self.report_instance_change(index, change),
+                HeartbeatOutcome::Unconfirmed if answer_lost => {}
+                HeartbeatOutcome::Unconfirmed => self.confirm_heartbeat(index, &heartbeat),
+            }
+        }
+        if self.chance(10) {
+            self.send_foreign_heartbeat(index);
         }
         let runner = &mut self.runners[index as usize];
         let mut calls = runner.runs.tick(now);
@@ -135,6 +140,49 @@
         self.report_outcomes(index);
     }
 
+    /// Sends a heartbeat of another writer: it has the name or the start time of the runner's
+    /// instance at most. The instance that it names refuses to confirm it.
+    fn send_foreign_heartbeat(&mut self, index: u64) {
+        let now = self.now();
+        let has_same_name = self.rng.random_bool(0.5);
+        let born_ms = self.rng.random_range(0..u64::MAX);
+        let runner = &mut self.runners[index as usize];
+        let mut report = instance(index, born_ms, runner.capacity);
+        if !has_same_name {
+            report.id.name = "i-other".to_owned();
+            report.id.born_ms = runner.model.born_ms;
+        }
+        let heartbeat = Heartbeat {
+            instance: report,
+            sequence: u64::MAX,
+            cold_left_ms: 0,
+        };
+        let outcome = runner.runs.heartbeat_received(now, &heartbeat);
+        assert_eq!(outcome, HeartbeatOutcome::Unconfirmed);
+        let fence = runner.runs.fence();
+        let answer = runner.model.identify(fence).ok().filter(|_| has_same_name);
+        if let Some(listing) = answer {
+            let confirmed = runner
+                .runs
+                .confirm_heartbeat(now, now, &heartbeat, &listing);
+            assert_eq!(confirmed, None);
+        }
+    }
+
+    /// Asks the instance that a heartbeat names for an answer that confirms the heartbeat.
+    fn confirm_heartbeat(&mut self, index: u64, heartbeat: &Heartbeat) {
+        let now = self.now();
+        let runner = &mut self.runners[index as usize];
+        // A new process whose fencing token is too low raises it with its next listing.
+        let Ok(listing) = runner.model.identify(runner.runs.fence()) else {
+            return;
+        };
+        let confirmed = runner.runs.confirm_heartbeat(now, now, heartbeat, &listing);
+        let (change, calls) = confirmed.expect("the heartbeat is of this instance");
+        self.report_instance_change(index, change);
+        self.make_calls(index, calls);
+    }
+
     /// Makes calls to the instance. Some are delayed, or executed without an answer.
     pub(super) fn make_calls(&mut self, index: u64, calls: Vec<DriverCall>) {
         let now = self.now();
--- a/crates/hemlock_runs/tests/start_limit.rs
+++ b/crates/hemlock_runs/tests/start_limit.rs
@@ -38,11 +38,10 @@
 fn report_cold(harness: &mut Harness, sequence: u64, cold_left_ms: u64) -> InstanceChange {
     let heartbeat = Heartbeat {
         instance: instance(harness.model.born_ms),
-        clock_ms: harness.model.clock_ms,
         sequence,
         cold_left_ms,
     };
-    harness.runs.heartbeat_received(harness.now, heartbeat)
+    harness.receive(&heartbeat)
 }
 
 #[test]
@@ -144,11 +143,10 @@
     moved.failure_domain = "z".to_owned();
     let heartbeat = Heartbeat {
         instance: moved,
-        clock_ms: harness.model.clock_ms,
         sequence: 10,
         cold_left_ms: 0,
     };
-    harness.runs.heartbeat_received(harness.now, heartbeat);
+    harness.receive(&heartbeat);
     assert_eq!(
         refusals(&mut harness),
         vec![(GATEWAY, RefusalReason::Evacuated)]
--- a/crates/hemlock_standin/src/instance.rs
+++ b/crates/hemlock_standin/src/instance.rs
@@ -170,6 +170,22 @@
         StopResult::Accepted
     }
 
+    /// Handles a call to list running and ended runs that neither extends the lease nor forgets any
+    /// ends.
+    ///
+    /// # Errors
+    ///
+    /// Like [`InstanceModel::list`].
+    pub fn identify(&mut self, fence: u64) -> Result<Listing, ListError> {
+        self.list(&ListCall {
+            fence,
+            lease_until_ms: None,
+            settled: 0,
+            wait_ms: 0,
+            timeout_ms: 0,
+        })
+    }
+
     /// Handles a call to list running and ended runs. Forgets the ends that the call settles.
     ///
     /// # Errors
