Refuse orders and pings that arrive after their session has expired

Cause: a runner's timer ends the sessions of owners that were not heard from. A runner that was suspended may handle an order that arrived meanwhile before its timer: the order then renewed the session that had expired and started tasks that its gateway had long placed elsewhere, until the closed connection was noticed. The same held for the leader's orders after its authority was over.

Change: an order or a ping counts only while its session has not expired, whether the timer has run or not.

--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -16,17 +16,13 @@
         owner: Owner,
         order: Order,
     ) -> (Vec<DriverCall>, Vec<RefusedStart>) {
-        let state = self.owners.get_mut(&owner);
-        let in_session = match state {
-            Some(state) if state.session == order.session => {
-                state.last_order = state.last_order.max(order.sequence);
-                if owner != Owner::Leader {
-                    state.last_heard = now;
-                }
-                true
+        let in_session = self.is_in_session(owner, order.session, now);
+        if let Some(state) = self.owners.get_mut(&owner).filter(|_| in_session) {
+            state.last_order = state.last_order.max(order.sequence);
+            if owner != Owner::Leader {
+                state.last_heard = now;
             }
-            Some(_) | None => false,
-        };
+        }
         let mut calls = Vec::new();
         let mut refused = Vec::new();
         if in_session {
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -5,7 +5,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 use serde::{Deserialize, Serialize};
 
-use super::{DriverCall, OwnerState, Runs};
+use super::{DriverCall, OwnerState, Runs, RunsSettings};
 use crate::tracked_run::{Owner, Phase, TrackedRun};
 
 /// Multiple of its expected duration after which a run at a suspected instance counts as stalled.
@@ -206,16 +206,25 @@
     }
 
     /// Tells that a gateway was heard from at `heard_at`, or that the leader confirmed a request
-    /// sent then. Returns false if the session is not the owner's current one.
+    /// sent then. Returns false if the session is not the owner's current one, or had expired.
     pub fn owner_heard(&mut self, owner: Owner, session: SessionId, heard_at: Instant) -> bool {
-        let state = self.owners.get_mut(&owner);
-        match state.filter(|state| state.session == session) {
-            Some(state) => {
-                state.last_heard = state.last_heard.max(heard_at);
-                true
-            }
-            None => false,
+        if !self.is_in_session(owner, session, heard_at) {
+            return false;
+        }
+        if let Some(state) = self.owners.get_mut(&owner) {
+            state.last_heard = state.last_heard.max(heard_at);
         }
+        true
+    }
+
+    /// Whether the owner's session is this one and has not expired.
+    ///
+    /// A process that was suspended may handle messages that arrived meanwhile before its timer
+    /// ends the session. Their sender may have given up its runs here since.
+    pub(super) fn is_in_session(&self, owner: Owner, session: SessionId, now: Instant) -> bool {
+        let state = self.owners.get(&owner);
+        let current = state.filter(|state| state.session == session);
+        current.is_some_and(|state| !is_gone(&self.settings, owner, state, now))
     }
 
     /// Tells that the connection of an owner's session has closed.
@@ -234,25 +243,9 @@
     /// Applies all timeouts: ends the sessions of owners that are gone, and stops their runs as
     /// well as unclaimed and stalled ones. Returns the calls that must be made.
     pub fn tick(&mut self, now: Instant) -> Vec<DriverCall> {
-        let settings = self.settings;
-        let is_gone = |owner: &Owner, state: &OwnerState| {
-            let timeout_ms = match owner {
-                Owner::Leader => settings.leader_authority_ms,
-                Owner::Gateway(_) => settings.gateway_timeout_ms,
-            };
-            let reconnect_timeout = DurationMs::new(settings.reconnect_timeout_ms);
-            let has_left = match owner {
-                // A new leader may be elected meanwhile and adopt the runs.
-                Owner::Leader => false,
-                Owner::Gateway(_) => state
-                    .closed_at
-                    .is_some_and(|closed_at| now > closed_at + reconnect_timeout),
-            };
-            has_left || now > state.last_heard + DurationMs::new(timeout_ms)
-        };
         let owners = self.owners.iter();
         let gone: Vec<Owner> = owners
-            .filter(|(owner, state)| is_gone(owner, state))
+            .filter(|(owner, state)| is_gone(&self.settings, **owner, state, now))
             .map(|(owner, _)| *owner)
             .collect();
         let mut calls = Vec::new();
@@ -317,3 +310,20 @@
         }
     }
 }
+
+/// Whether an owner's session is over: it was not heard from for too long, or has not reconnected.
+fn is_gone(settings: &RunsSettings, owner: Owner, state: &OwnerState, now: Instant) -> bool {
+    let timeout_ms = match owner {
+        Owner::Leader => settings.leader_authority_ms,
+        Owner::Gateway(_) => settings.gateway_timeout_ms,
+    };
+    let reconnect_timeout = DurationMs::new(settings.reconnect_timeout_ms);
+    let has_left = match owner {
+        // A new leader may be elected meanwhile and adopt the runs.
+        Owner::Leader => false,
+        Owner::Gateway(_) => state
+            .closed_at
+            .is_some_and(|closed_at| now > closed_at + reconnect_timeout),
+    };
+    has_left || now > state.last_heard + DurationMs::new(timeout_ms)
+}
