Drop requests whose connections were reset or closed before they are handled

Cause: a gateway that is behind reads a request after the connection has been reset, because the bytes stay readable, and starts its tasks before it notices. The client saw the reset at once and sent the job to another gateway.

Change: the HTTP server looks at the socket once more when a request is complete. It drops the request if the connection was reset, and gives a client that has closed its side only a response that is ready at once. The runtime's own readiness isn't enough, because it is as old as the last poll for events.

One system call more a request.

--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{Instant, timeout, timeout_at};
+use tracing::info;
 
 use crate::config::HttpServerConfig;
 use crate::error::Refusal;
@@ -122,7 +123,11 @@
                 .map_err(|_| Refusal::RequestTimeout)??;
             let head_only = head.method == Method::Head;
             let keep_alive = head.keep_alive;
-            let response = self.handle_request(head, body).await?;
+            let is_closed = self.is_closed_by_client().inspect_err(|_| {
+                info!(event = "request-dropped", method = %head.method, path = head.path,
+                      reason = "connection reset");
+            })?;
+            let response = self.handle_request(head, body, is_closed).await?;
             let keep_alive = keep_alive && !*self.stop.borrow();
             self.state.count_response(response.status);
             self.write(&response.into_bytes(head_only, !keep_alive))
@@ -200,11 +205,35 @@
             .map_err(|_| Refusal::Busy.into())
     }
 
-    /// Calls the handler and waits for its response. Fails if the client disconnects first.
+    /// Returns whether the client has closed its side. Fails if the connection was reset. Data that
+    /// has arrived meanwhile is kept in the buffer.
+    ///
+    /// A request stays readable after its connection was closed or reset. Its client may have sent
+    /// it again elsewhere, so it must not be taken for one that somebody waits for. The socket is
+    /// read directly, because the runtime learns of a close only with its next poll for events.
+    fn is_closed_by_client(&mut self) -> Result<bool, CloseReason> {
+        if !self.buffer.is_empty() {
+            // A pipelined request is behind this one.
+            return Ok(false);
+        }
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        match rustix::io::read(&self.stream, &mut chunk) {
+            Ok(length) => {
+                self.buffer.extend_from_slice(&chunk[..length]);
+                Ok(length == 0)
+            }
+            Err(rustix::io::Errno::WOULDBLOCK | rustix::io::Errno::INTR) => Ok(false),
+            Err(_) => Err(CloseReason::WithoutResponse),
+        }
+    }
+
+    /// Calls the handler and waits for its response. Fails if the client disconnects first. A
+    /// client that has closed its side already gets only a response that is given at once.
     async fn handle_request(
         &mut self,
         head: Head,
         body: Bytes,
+        is_closed: bool,
     ) -> Result<HttpResponse, CloseReason> {
         let request = HttpRequest {
             method: head.method,
@@ -214,10 +243,14 @@
             body,
             peer: self.peer,
         };
-        let (responder, response_receiver) = Responder::new();
+        let (responder, mut response_receiver) = Responder::new();
         self.state.handler.handle(request, responder);
         let unanswered =
             |_| HttpResponse::error(500, "internal", "the request was dropped without an answer");
+        if is_closed {
+            let response = response_receiver.try_recv();
+            return response.map_err(|_| CloseReason::WithoutResponse);
+        }
         tokio::select! {
             biased;
             response = response_receiver => Ok(response.unwrap_or_else(unanswered)),
