Don't repeat starts at the next incarnation of a lost instance

Cause: a start without an answer is repeated up to three times. The instance crashed while a start was on its way; the runner reported the run as crashed, so its gateway placed the task elsewhere, while a repetition reached the incarnation that had come up 60 ms later and was executed there. The first listing then took that run for one of an earlier runner process and waited 400 ms for its owner before it stopped it.

Change: a call isn't repeated after its instance was lost. A run whose start is unanswered at that moment ends with its call, not before: it goes on if the next incarnation has executed the start, and has crashed if no answer comes. Runs that a restarted instance lists and that its runner doesn't know are stopped at once.

Evidence: a_start_in_flight_when_the_instance_is_lost_ends_with_its_call, what_a_restarted_instance_runs_is_stopped_at_once and a_start_is_not_repeated_after_its_instance_was_lost; the first two failed before, the third is of a new call.

--- a/crates/hemlock_nodes/src/hedge.rs
+++ b/crates/hemlock_nodes/src/hedge.rs
@@ -5,6 +5,7 @@
 //! call is safe because every call is idempotent: a start names its run, a stop fences its run, and
 //! a lease never gets shorter.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use futures::future::{FutureExt, LocalBoxFuture, ready};
@@ -28,6 +29,8 @@
     driver: Rc<dyn InstanceDriver>,
     /// Attempts that lost the race. They run to completion so that their connections can be reused.
     background: Rc<TaskSet>,
+    /// Number of losses of the instance.
+    losses: Rc<Cell<u64>>,
 }
 
 /// The first answer to a call, and the number of attempts made until then.
@@ -42,45 +45,76 @@
         Self {
             driver,
             background: Rc::default(),
+            losses: Rc::default(),
+        }
+    }
+
+    /// Repeats none of the pending calls any more, because the instance was lost.
+    pub fn note_instance_lost(&self) {
+        self.losses.set(self.losses.get() + 1);
+    }
+
+    fn repetition(&self, resend_after: DurationMs, max_attempts: u32) -> Repetition {
+        Repetition {
+            resend_after,
+            max_attempts,
+            losses: Rc::clone(&self.losses),
+            losses_before: self.losses.get(),
         }
     }
 }
 
-/// Makes up to `max_attempts` overlapping attempts of a call and returns the first answer.
-async fn first_answer<T: 'static>(
-    background: Rc<TaskSet>,
+/// How a call is repeated while it is unanswered.
+struct Repetition {
     resend_after: DurationMs,
     max_attempts: u32,
+    /// Number of losses of the instance, now and when the call was made. After a loss, a repetition
+    /// would reach the next incarnation.
+    losses: Rc<Cell<u64>>,
+    losses_before: u64,
+}
+
+impl Repetition {
+    fn allows(&self, attempts: u32) -> bool {
+        attempts < self.max_attempts && self.losses.get() == self.losses_before
+    }
+}
+
+/// Makes overlapping attempts of a call and returns the first answer.
+async fn first_answer<T: 'static>(
+    background: Rc<TaskSet>,
+    repetition: Repetition,
     make_call: impl Fn() -> LocalBoxFuture<'static, T>,
     is_answer: impl Fn(&T) -> bool,
 ) -> FirstAnswer<T> {
-    let mut in_flight = FuturesUnordered::new();
-    let mut attempts = 0;
-    let mut next_attempt_at = Instant::now();
+    let mut in_flight = FuturesUnordered::from_iter([make_call()]);
+    let mut attempts = 1;
+    let mut next_attempt_at = Instant::now() + repetition.resend_after.as_std();
     let value = loop {
-        let attempt_due = attempts < max_attempts && Instant::now() >= next_attempt_at;
-        if attempt_due {
+        let may_repeat = repetition.allows(attempts);
+        if may_repeat && Instant::now() >= next_attempt_at {
             in_flight.push(make_call());
             attempts += 1;
-            next_attempt_at = Instant::now() + resend_after.as_std();
+            next_attempt_at = Instant::now() + repetition.resend_after.as_std();
+            continue;
         }
-        let next = match attempts < max_attempts {
-            true if in_flight.is_empty() => {
-                tokio::time::sleep_until(next_attempt_at).await;
-                None
-            }
-            true => timeout_at(next_attempt_at, in_flight.next())
-                .await
-                .ok()
-                .flatten(),
-            false => in_flight.next().await,
+        let next = match may_repeat {
+            true => timeout_at(next_attempt_at, in_flight.next()).await.ok(),
+            false => Some(in_flight.next().await),
         };
-        match next {
+        match next.flatten() {
             Some(value) if is_answer(&value) => break value,
-            Some(value) if attempts == max_attempts && in_flight.is_empty() => break value,
-            // The instance may have closed a kept connection, so the first repetition needs no
-            // delay. Further ones would flood an instance that resets every connection.
-            Some(_) if attempts == 1 => next_attempt_at = Instant::now(),
+            Some(value) if in_flight.is_empty() => {
+                // The instance may have closed a kept connection, so the first repetition needs no
+                // delay. Further ones would flood an instance that resets every connection.
+                if attempts > 1 && repetition.allows(attempts) {
+                    tokio::time::sleep_until(next_attempt_at).await;
+                }
+                if !repetition.allows(attempts) {
+                    break value;
+                }
+                next_attempt_at = Instant::now();
+            }
             _ => {}
         }
     };
@@ -97,11 +131,11 @@
 impl InstanceDriver for HedgedDriver {
     fn start(&self, call: StartCall) -> LocalBoxFuture<'static, StartResult> {
         let (driver, background) = (Rc::clone(&self.driver), Rc::clone(&self.background));
+        let repetition = self.repetition(RESEND_AFTER, MAX_ATTEMPTS);
         async move {
             let make_call = || driver.start(call.clone());
             let is_answer = |result: &StartResult| *result != StartResult::Unanswered;
-            let answer =
-                first_answer(background, RESEND_AFTER, MAX_ATTEMPTS, make_call, is_answer).await;
+            let answer = first_answer(background, repetition, make_call, is_answer).await;
             match answer.value {
                 // The refusal may be caused by an earlier attempt that started the run, which may
                 // have ended since.
@@ -114,10 +148,11 @@
 
     fn stop(&self, call: StopCall) -> LocalBoxFuture<'static, StopResult> {
         let (driver, background) = (Rc::clone(&self.driver), Rc::clone(&self.background));
+        let repetition = self.repetition(RESEND_AFTER, MAX_ATTEMPTS);
         async move {
             let make_call = || driver.stop(call);
             let is_answer = |result: &StopResult| *result != StopResult::Unanswered;
-            first_answer(background, RESEND_AFTER, MAX_ATTEMPTS, make_call, is_answer)
+            first_answer(background, repetition, make_call, is_answer)
                 .await
                 .value
         }
@@ -127,16 +162,12 @@
     fn list(&self, call: ListCall) -> LocalBoxFuture<'static, Result<Listing, ListError>> {
         let (driver, background) = (Rc::clone(&self.driver), Rc::clone(&self.background));
         let resend_after = DurationMs::new(call.wait_ms + RESEND_AFTER.as_ms());
+        let repetition = self.repetition(resend_after, MAX_LISTING_ATTEMPTS);
         async move {
             let make_call = || driver.list(call);
-            let answer = first_answer(
-                background,
-                resend_after,
-                MAX_LISTING_ATTEMPTS,
-                make_call,
-                is_listing_answer,
-            );
-            answer.await.value
+            first_answer(background, repetition, make_call, is_listing_answer)
+                .await
+                .value
         }
         .boxed_local()
     }
@@ -147,16 +178,12 @@
         fence: u64,
     ) -> LocalBoxFuture<'static, Result<Listing, ListError>> {
         let (driver, background) = (Rc::clone(&self.driver), Rc::clone(&self.background));
+        let repetition = self.repetition(RESEND_AFTER, MAX_LISTING_ATTEMPTS);
         async move {
             let make_call = || driver.identify(name.clone(), fence);
-            let answer = first_answer(
-                background,
-                RESEND_AFTER,
-                MAX_LISTING_ATTEMPTS,
-                make_call,
-                is_listing_answer,
-            );
-            answer.await.value
+            first_answer(background, repetition, make_call, is_listing_answer)
+                .await
+                .value
         }
         .boxed_local()
     }
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -194,12 +194,14 @@
 
     /// Reports a change of the instance to the leader and all gateways.
     fn report_instance_change(self: &Rc<Self>, change: InstanceChange) {
+        let runs_lost = change == InstanceChange::RunsLost;
+        if runs_lost {
+            self.driver.note_instance_lost();
+        }
         self.report_outcomes();
-        let runs_lost = match change {
-            InstanceChange::None => return,
-            InstanceChange::Updated => false,
-            InstanceChange::RunsLost => true,
-        };
+        if change == InstanceChange::None {
+            return;
+        }
         let instance = self.runs.borrow().instance().cloned();
         let suspects = self.runs.borrow_mut().take_crash_suspects();
         if runs_lost && !suspects.is_empty() {
--- a/crates/hemlock_nodes/tests/hedge.rs
+++ b/crates/hemlock_nodes/tests/hedge.rs
@@ -66,19 +66,23 @@
     fn set_target(&self, _: Option<String>) {}
 }
 
+fn start_call() -> StartCall {
+    StartCall {
+        task: "00000000000000aa.0.0.0".parse().expect("a task"),
+        run: RunNumber(1),
+        payload: Bytes::new(),
+        lease_until_ms: 1_000,
+        fence: 1,
+    }
+}
+
 /// Makes a hedged start. Returns its result, its duration in milliseconds, the number of attempts
 /// made and the number of attempts that ran to completion.
 async fn start(answers: &[Option<(u64, StartResult)>]) -> (StartResult, u128, usize, usize) {
     let script = Rc::new(ScriptedInstance::default());
     script.answers.replace(answers.to_vec());
     let driver = HedgedDriver::new(Rc::clone(&script) as Rc<dyn InstanceDriver>);
-    let call = StartCall {
-        task: "00000000000000aa.0.0.0".parse().expect("a task"),
-        run: RunNumber(1),
-        payload: Bytes::new(),
-        lease_until_ms: 1_000,
-        fence: 1,
-    };
+    let call = start_call();
     LocalSet::new()
         .run_until(async {
             let began = Instant::now();
@@ -133,6 +137,27 @@
     assert!(took_ms >= 50, "4 attempts within {took_ms} ms");
 }
 
+/// Guards against tasks that run twice at once: the repetition of a start reached the incarnation
+/// that had replaced the lost one, while the run counted as crashed and was started elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_start_is_not_repeated_after_its_instance_was_lost() {
+    for (answers, made_before) in [(vec![], 2), (vec![Some((20, StartResult::Unanswered))], 2)] {
+        let script = Rc::new(ScriptedInstance::default());
+        script.answers.replace(answers);
+        let driver = HedgedDriver::new(Rc::clone(&script) as Rc<dyn InstanceDriver>);
+        let lose = async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            assert_eq!(script.made.get(), made_before);
+            driver.note_instance_lost();
+        };
+        let local = LocalSet::new();
+        let starting = async { tokio::join!(driver.start(start_call()), lose).0 };
+        let result = local.run_until(starting).await;
+        assert_eq!(result, StartResult::Unanswered);
+        assert_eq!(script.made.get(), made_before);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn attempts_that_lose_the_race_run_to_completion() {
     let answers = [Some((40, STARTED)), Some((60, STARTED))];
--- a/crates/hemlock_runs/src/runs/crashes.rs
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -45,12 +45,27 @@
 }
 
 impl Runs {
-    /// Ends all tracked runs and refuses all queued starts, because the instance is lost.
+    /// Ends all tracked runs and refuses all queued starts, because the instance is lost. Runs whose
+    /// start calls are unanswered end with these calls.
     pub(super) fn end_all_runs(&mut self, now: Instant, loss: Loss) {
-        let table = std::mem::take(&mut self.table);
+        let mut table = std::mem::take(&mut self.table);
         self.used = Resources::default();
         self.stop_retries.clear();
         self.unclaimed_since = None;
+        if loss == Loss::Exit {
+            let starting = table.extract_if(.., |_, tracked| tracked.phase == Phase::Starting);
+            let starting: Vec<(TaskKey, TrackedRun)> = starting.collect();
+            for (task, tracked) in starting {
+                let lost_while_starting = true;
+                self.insert(
+                    task,
+                    TrackedRun {
+                        lost_while_starting,
+                        ..tracked
+                    },
+                );
+            }
+        }
         let instance = self.instance.as_ref();
         let is_leaving = instance.is_some_and(|instance| instance.draining);
         let youngest_ms = table
@@ -100,6 +115,18 @@
         }
     }
 
+    /// Ends a run whose instance was lost before its start call has ended without an answer.
+    pub(super) fn end_lost_start(&mut self, now: Instant, task: TaskKey, tracked: TrackedRun) {
+        self.remove(task);
+        let report = RunReport {
+            task,
+            run: tracked.run,
+            end: Some(RunEnd::Crashed(Suspicion::Weak)),
+            took_ms: 0,
+        };
+        self.report_lost_run(now, tracked.owner, report);
+    }
+
     fn report_lost_run(&mut self, now: Instant, owner: Option<Owner>, report: RunReport) {
         let is_recorded = report.run.is_recorded();
         let crashed = matches!(report.end, Some(RunEnd::Crashed(_)));
@@ -121,7 +148,7 @@
         Phase::Stopping {
             accepted: Some(_), ..
         } => RunEnd::Lapsed,
-        // A start without an answer may have reached the instance before it exited.
+        // A stop without an answer may not have reached the instance before it exited.
         Phase::Running(_) | Phase::Starting | Phase::Stopping { .. } => {
             RunEnd::Crashed(Suspicion::Weak)
         }
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -39,7 +39,8 @@
         if first && !restarted {
             self.forget_silent_runs();
         }
-        let mut calls = match first {
+        // What a restarted instance runs was started by calls to its predecessor.
+        let mut calls = match first && !restarted {
             true => {
                 self.import_runs(now, listing);
                 Vec::new()
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -127,6 +127,12 @@
         let tracked = self.table.get(&task).copied();
         let tracked = tracked.filter(|tracked| tracked.run == run)?;
         match (result, tracked.phase) {
+            (StartResult::Unanswered | StartResult::Fenced, Phase::Starting)
+                if tracked.lost_while_starting =>
+            {
+                self.end_lost_start(now, task, tracked);
+                None
+            }
             (StartResult::Started, Phase::Starting) => {
                 self.mark_running(now, task);
                 None
@@ -231,6 +237,7 @@
         expected_ms: 0,
         stall_after_ms: 0,
         started_at: None,
+        lost_while_starting: false,
         phase,
     }
 }
--- a/crates/hemlock_runs/src/tracked_run.rs
+++ b/crates/hemlock_runs/src/tracked_run.rs
@@ -55,6 +55,9 @@
     pub(crate) stall_after_ms: u64,
     /// Time at which the run was first known to be running.
     pub(crate) started_at: Option<Instant>,
+    /// Whether the instance was lost while the start call was unanswered. The call may still reach
+    /// the next incarnation, so the run is not over before the call is.
+    pub(crate) lost_while_starting: bool,
     pub(crate) phase: Phase,
 }
 
--- a/crates/hemlock_runs/tests/incarnations.rs
+++ b/crates/hemlock_runs/tests/incarnations.rs
@@ -175,3 +175,78 @@
     harness.list();
     assert!(harness.runs.renew_lease(harness.now).is_some());
 }
+
+/// Orders a start of task 1 and returns its call, which the instance has not received yet.
+fn start_in_flight(harness: &mut Harness) -> StartCall {
+    harness.attach(GATEWAY, 1, &[]);
+    let (calls, refused) = harness.order(GATEWAY, 1, vec![start(1, 2, 6_000)], vec![]);
+    assert_eq!(refused, vec![]);
+    match &calls[..] {
+        [DriverCall::Start(call)] => call.clone(),
+        _ => panic!("the order must return a start call"),
+    }
+}
+
+fn ends(harness: &mut Harness) -> Vec<Option<RunEnd>> {
+    let outcomes = harness.runs.take_outbox().into_iter();
+    let end = |(_, outcome)| match outcome {
+        RunOutcome::Ended(report, _) => Some(report.end),
+        RunOutcome::Refused(_) => None,
+    };
+    outcomes.filter_map(end).collect()
+}
+
+/// Guards against tasks that run twice at once: a start that was unanswered when its instance was
+/// lost was reported as crashed at once, and then reached the next incarnation.
+#[test]
+fn a_start_in_flight_when_the_instance_is_lost_ends_with_its_call() {
+    let crashed = Some(RunEnd::Crashed(hemlock_jobs::prelude::Suspicion::Weak));
+    for executed in [true, false] {
+        let mut harness = Harness::new();
+        let call = start_in_flight(&mut harness);
+        harness.advance_ms(1);
+        harness.model = InstanceModel::new(2);
+        assert_eq!(
+            harness.runs.instance_lost(harness.now, harness.now),
+            InstanceChange::RunsLost
+        );
+        assert_eq!(harness.heartbeat(false), InstanceChange::RunsLost);
+        assert_eq!(ends(&mut harness), vec![]);
+        let result = match executed {
+            true => harness.model.start(&call),
+            false => StartResult::Unanswered,
+        };
+        let follow_up = harness.runs.start_answered(harness.now, &call, result);
+        assert_eq!(follow_up, None);
+        harness.advance_ms(1);
+        harness.list();
+        match executed {
+            true => {
+                assert_eq!(ends(&mut harness), vec![]);
+                harness.model.end(task(1), RunEnd::Done);
+                harness.list();
+                assert_eq!(ends(&mut harness), vec![Some(RunEnd::Done)]);
+            }
+            false => assert_eq!(ends(&mut harness), vec![crashed]),
+        }
+        assert_eq!(harness.runs.running(), 0);
+    }
+}
+
+/// Guards against runs that stay at a restarted instance until unclaimed runs are stopped, although
+/// nobody can claim them.
+#[test]
+fn what_a_restarted_instance_runs_is_stopped_at_once() {
+    let mut harness = Harness::new();
+    let call = start_in_flight(&mut harness);
+    harness.model = InstanceModel::new(2);
+    harness.runs.instance_lost(harness.now, harness.now);
+    harness
+        .runs
+        .start_answered(harness.now, &call, StartResult::Unanswered);
+    harness.advance_ms(1);
+    // The call was executed, and its answer was lost.
+    assert_eq!(harness.model.start(&call), StartResult::Started);
+    assert_eq!(harness.list(), InstanceChange::RunsLost);
+    assert!(harness.model.running().is_empty());
+}
