Report only recorded runs of unknown owners to the leader

Cause: a new runner process reported all runs whose owners it didn't know to the leader, also those of gateways. The leader doesn't know their jobs, so it reserved the whole instance for each and ordered a stop. A gateway then claimed the run, its end went to the gateway alone, and the instance stayed full for the leader for good.

Change: the number of a run tells whether its end must be recorded, and so whether it can be the leader's. Others are not reported to it.

--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -119,11 +119,12 @@
     }
 
     /// Begins a session with the leader. Returns all runs and ends that may belong to it: its own,
-    /// and those of unknown owners.
+    /// and those of unknown owners whose numbers show that they need a record.
     pub fn attach_leader(&mut self, now: Instant, session: SessionId) -> Inventory {
         let mut inventory = self.attach(now, Owner::Leader, session, &[]);
         let unknown = self.table.iter();
-        let unknown = unknown.filter(|(_, tracked)| tracked.owner.is_none());
+        let unknown =
+            unknown.filter(|(_, tracked)| tracked.owner.is_none() && tracked.run.is_recorded());
         inventory
             .runs
             .extend(unknown.map(|(task, tracked)| RunReport {
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -588,6 +588,27 @@
     assert_eq!(inventory.runs[0].end, None, "the claimed run continues");
 }
 
+/// Guards against an instance that is full for the leader for good: a run of a gateway that the
+/// leader was told of ends without a report to the leader.
+#[test]
+fn the_leader_is_not_told_of_unclaimed_runs_that_gateways_have_started() {
+    let mut before = Harness::new();
+    before.attach(GATEWAY, 1, &[]);
+    before.attach(Owner::Leader, 2, &[]);
+    let of_gateway = start(1, RunNumber(0).next_unrecorded().0, 6_000);
+    let of_leader = start(2, RunNumber(0).next_recorded().0, 6_000);
+    for (owner, session, order) in [(GATEWAY, 1, of_gateway), (Owner::Leader, 2, of_leader)] {
+        let (calls, refused) = before.order(owner, session, vec![order], vec![]);
+        assert_eq!(refused, vec![]);
+        before.execute(calls);
+    }
+    let mut harness = Harness::just_started(before.model, FENCE + 1);
+    harness.list();
+    let inventory = harness.runs.attach_leader(harness.now, SessionId(3));
+    let reported: Vec<TaskKey> = inventory.runs.iter().map(|run| run.task).collect();
+    assert_eq!(reported, vec![task(2)]);
+}
+
 #[test]
 fn an_unclaimed_run_ends_with_its_last_lease_despite_repeated_restarts() {
     let mut harness = Harness::new();
