Keep agents in the record that register at the end of a takeover

Cause: when a takeover ended, the leader removed all agents from the record whose inventory was missing, also one that had registered and was about to send it. That agent got work but was not recorded again, so the next leader neither knew it nor waited for it.

Change: an agent that has registered isn't missing. One that registers while its removal is on its way is recorded again first.

The second part of the change has no test of its own: no test drives a coordinator's control loop with commands that are still on their way.

--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -289,14 +289,19 @@
         }
     }
 
-    /// Takes the agents of earlier leaders that did not report before the takeover ended.
+    /// Takes the agents of earlier leaders that did not register before the takeover ended.
+    ///
+    /// One that has registered gets work once it has sent its inventory, so the next leader must
+    /// know it.
     pub fn take_missing_agents(&mut self) -> Vec<AgentId> {
-        match self.takeover_until {
-            None => std::mem::take(&mut self.awaiting_inventory)
-                .into_iter()
-                .collect(),
-            Some(_) => Vec::new(),
+        if self.takeover_until.is_some() {
+            return Vec::new();
         }
+        let mut missing = std::mem::take(&mut self.awaiting_inventory);
+        let agents = &self.agents;
+        let has_session = |id: &AgentId| agents.get(id).is_some_and(|a| a.session.is_some());
+        missing.retain(|id| !has_session(id));
+        missing.into_iter().collect()
     }
 }
 
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -252,6 +252,22 @@
     assert!(fixture.poll().is_empty(), "the task is running at agent 1");
 }
 
+/// Guards against tasks that the next leader starts beside their runs: an agent that had registered
+/// at the end of a takeover, and whose inventory was still to come, was removed from the record.
+#[test]
+fn an_agent_that_has_registered_is_not_missing_at_the_end_of_a_takeover() {
+    let mut store = fixture::store(vec![queue("searches", 0)]);
+    let enlist = |agent| Command::Enlist(AgentId(agent));
+    let commands = vec![Command::Lead, enlist(0), enlist(1), enlist(2)];
+    store.apply(&Batch::new(0, commands));
+    let mut fixture = Fixture::with_store(store, 1);
+    fixture.dispatcher.register(fixture.now, AgentId(1));
+    assert_eq!(fixture.dispatcher.take_missing_agents(), vec![]);
+    fixture.now += DispatchSettings::default().expiry();
+    fixture.poll();
+    assert_eq!(fixture.dispatcher.take_missing_agents(), vec![AgentId(2)]);
+}
+
 #[test]
 fn a_new_leader_starts_open_jobs_at_once_when_every_agent_has_registered() {
     let mut store = fixture::store(vec![queue("searches", 0)]);
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -1,6 +1,6 @@
 //! The control loop: drives the replicated log, applies committed commands, and dispatches jobs.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use hemlock_dispatch::prelude::*;
@@ -51,6 +51,8 @@
     pub(super) watchers: Watchers,
     /// Session and connection of each registered runner.
     pub(super) sessions: HashMap<AgentId, (SessionId, ConnectionId)>,
+    /// Agents whose removal from the record was proposed and is not yet applied.
+    pub(super) delisting: BTreeSet<AgentId>,
     term: Option<Term>,
     disk: Disk,
     peers: Peers,
@@ -95,6 +97,7 @@
             now: Instant::ZERO,
             watchers: Watchers::default(),
             sessions: HashMap::new(),
+            delisting: BTreeSet::new(),
             term: None,
             disk,
             peers,
@@ -283,6 +286,7 @@
         metrics::gauge!("hemlock_coordinator_leading").set(0.0);
         self.dispatcher = None;
         self.sessions.clear();
+        self.delisting.clear();
         for answer in self.watchers.drain() {
             reply(answer, Reply::NotLeader);
         }
@@ -429,6 +433,9 @@
             (Command::Evacuate(_) | Command::EndEvacuation(_), _) => {
                 dispatcher.set_evacuations(store.evacuations());
             }
+            (Command::Delist(agent), _) => {
+                self.delisting.remove(agent);
+            }
             (Command::Cancel(id), ApplyOutcome::Ended(_)) => dispatcher.job_ended(*id),
             (Command::End(key, _, _), ApplyOutcome::Ended(outcome)) => {
                 info!(event = "job-ended", job = %key.job, outcome = ?outcome);
@@ -539,6 +546,7 @@
         };
         for agent in dispatcher.take_missing_agents() {
             info!(event = "agent-missing", agent = agent.0);
+            self.delisting.insert(agent);
             self.pending_commands
                 .push((Command::Delist(agent), CommandWaiter::Nobody));
         }
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -167,7 +167,8 @@
         }
         // `register` assigns the session id; zero stands for no session.
         self.sessions.insert(agent, (SessionId(0), connection));
-        match self.store.agents().contains(&agent) {
+        let is_recorded = self.store.agents().contains(&agent) && !self.delisting.contains(&agent);
+        match is_recorded {
             true => self.register(agent, answer),
             // The agent is recorded first, because a later leader must know every agent that may
             // hold runs.
