Log losses of instances where they are noticed and where they arrive

A runner now logs a restart that a listing shows, with the start time, the runs and the age of the request, and failed calls that are ignored because they predate the present incarnation. A gateway logs each change of an instance, and whether its runs are lost.

--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -383,6 +383,14 @@
         let (agent, session) = (update.agent, update.session);
         self.handle_report(now, agent, session, &update.report);
         if let Some(changed) = update.instance {
+            info!(
+                event = "instance-changed",
+                agent = agent.0,
+                session = session.0,
+                instance = changed.instance.as_ref().map(|i| i.id.to_string()),
+                draining = changed.instance.as_ref().map(|i| i.draining),
+                runs_lost = changed.runs_lost,
+            );
             self.dispatcher.note_suspects(now, agent, &changed.suspects);
             self.dispatcher.instance_changed(
                 now,
--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -4,7 +4,7 @@
 
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::Runner;
 use crate::listing_backoff::ListingBackoff;
@@ -38,7 +38,10 @@
             let predates = self.runs.borrow().predates_incarnation(sent_at);
             match answer {
                 // The call failed at an incarnation that another one has replaced meanwhile.
-                Err(ListError::Gone | ListError::OtherInstance) if predates => {}
+                Err(error @ (ListError::Gone | ListError::OtherInstance)) if predates => {
+                    let asked_ms = now.since(sent_at).as_ms();
+                    info!(event = "listing-outdated", result = ?error, asked_ms);
+                }
                 Ok(listing) => {
                     backoff.reset();
                     self.handle_listing(now, sent_at, &listing);
@@ -96,6 +99,11 @@
 
     fn handle_listing(self: &Rc<Self>, now: Instant, sent_at: Instant, listing: &Listing) {
         let (change, calls) = self.runs.borrow_mut().handle_listing(now, sent_at, listing);
+        if change == InstanceChange::RunsLost {
+            let (born, runs) = (listing.born_ms, listing.running.len());
+            let asked_ms = now.since(sent_at).as_ms();
+            warn!(event = "instance-restarted", born, runs, asked_ms);
+        }
         self.report_instance_change(change);
         self.make_calls(calls);
         self.report_outcomes();
