Confirm a heartbeat by any answer of the present incarnation

Cause: an answer that was requested before a handled listing and arrived after it counted as outdated, and the heartbeat that it should confirm as refuted. Found while reading the change again.

Change: the order of answers matters only while they are of different incarnations. An outdated answer makes the runner ask again.

Evidence: an_answer_of_the_present_incarnation_confirms_its_heartbeat_in_any_order fails with the order checked first, as before.

--- a/crates/hemlock_nodes/src/runner/heartbeats.rs
+++ b/crates/hemlock_nodes/src/runner/heartbeats.rs
@@ -98,8 +98,15 @@
             }
             let fence = self.runs.borrow().fence();
             match self.driver.identify(id.name.clone(), fence).await {
-                Ok(listing) if self.adopt_confirmed(asked_at, heartbeat, &listing) => return,
-                Ok(_) => break "another-start-time",
+                Ok(listing) => match self.handle_identity(asked_at, heartbeat, &listing) {
+                    Confirmation::Confirmed(change, calls) => {
+                        self.apply_heartbeat(heartbeat, change);
+                        self.make_calls(calls);
+                        return;
+                    }
+                    Confirmation::Refuted => break "another-start-time",
+                    Confirmation::Outdated => {}
+                },
                 Err(ListError::OtherInstance) => break "another-name",
                 // A new process of the runner raises its fencing token with its next listing.
                 Err(ListError::Gone | ListError::Fenced | ListError::Unanswered) => {
@@ -118,23 +125,13 @@
         );
     }
 
-    /// Applies the heartbeat if the listing confirms it. Returns whether it does.
-    fn adopt_confirmed(
-        self: &Rc<Self>,
+    fn handle_identity(
+        &self,
         asked_at: Instant,
         heartbeat: &Heartbeat,
         listing: &Listing,
-    ) -> bool {
-        let now = self.clock.now();
-        let confirmed = self
-            .runs
-            .borrow_mut()
-            .confirm_heartbeat(now, asked_at, heartbeat, listing);
-        let Some((change, calls)) = confirmed else {
-            return false;
-        };
-        self.apply_heartbeat(heartbeat, change);
-        self.make_calls(calls);
-        true
+    ) -> Confirmation {
+        let mut runs = self.runs.borrow_mut();
+        runs.confirm_heartbeat(self.clock.now(), asked_at, heartbeat, listing)
     }
 }
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -122,7 +122,7 @@
     let listing = answer.expect("no later process calls");
     let heartbeat = heartbeat(agent, side.born_ms);
     let confirmed = side.runs.confirm_heartbeat(now, now, &heartbeat, &listing);
-    confirmed.expect("the heartbeat is of this incarnation");
+    assert!(matches!(confirmed, Confirmation::Confirmed(..)));
 }
 
 impl Fleet {
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -75,7 +75,7 @@
             };
             let listing = model.list(&list_call(&mut runs, now)).expect("no fence");
             let confirmed = runs.confirm_heartbeat(now, now, &heartbeat, &listing);
-            confirmed.expect("the heartbeat is of this instance");
+            assert!(matches!(confirmed, Confirmation::Confirmed(..)));
             self.runners.push(Runner {
                 runs,
                 model,
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -28,8 +28,8 @@
         StopCall, StopResult,
     };
     pub use crate::runs::{
-        Claim, DriverCall, FenceAction, Heartbeat, HeartbeatOutcome, InstanceChange, RefusedStart,
-        RunOutcome, Runs, RunsSettings,
+        Claim, Confirmation, DriverCall, FenceAction, Heartbeat, HeartbeatOutcome, InstanceChange,
+        RefusedStart, RunOutcome, Runs, RunsSettings,
     };
     pub use crate::shares::Shares;
     pub use crate::tracked_run::Owner;
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -11,7 +11,7 @@
 
 use crashes::CrashReports;
 use incarnation::IncarnationState;
-pub use incarnation::{Heartbeat, HeartbeatOutcome, InstanceChange};
+pub use incarnation::{Confirmation, Heartbeat, HeartbeatOutcome, InstanceChange};
 pub use owners::Claim;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/hemlock_runs/src/runs/incarnation.rs
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -47,6 +47,17 @@
     Unconfirmed,
 }
 
+/// What an answer of the instance says of an unconfirmed heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// The heartbeat is of the present incarnation and was applied. The calls must follow.
+    Confirmed(InstanceChange, Vec<DriverCall>),
+    /// The answer is of another incarnation than the one that the heartbeat names.
+    Refuted,
+    /// The answer may be older than what is known, so another one is needed.
+    Outdated,
+}
+
 /// What is known about the present incarnation of the instance.
 #[derive(Clone, Debug, Default)]
 pub(super) struct IncarnationState {
@@ -71,29 +82,28 @@
     }
 
     /// Handles a heartbeat of an unconfirmed incarnation after the instance that it names has
-    /// answered a request sent at `asked_at` with `listing`. Returns the change and the calls that
-    /// must follow, or `None` if the answer is not of the incarnation that the heartbeat names.
+    /// answered a request sent at `asked_at` with `listing`.
     pub fn confirm_heartbeat(
         &mut self,
         now: Instant,
         asked_at: Instant,
         heartbeat: &Heartbeat,
         listing: &Listing,
-    ) -> Option<(InstanceChange, Vec<DriverCall>)> {
+    ) -> Confirmation {
         let born_ms = heartbeat.instance.id.born_ms;
-        if listing.born_ms != born_ms || self.is_outdated(asked_at, born_ms) {
-            return None;
-        }
         let is_present = self.reachable && self.incarnation.born_ms == Some(born_ms);
         let (change, calls) = match is_present {
+            _ if listing.born_ms != born_ms => return Confirmation::Refuted,
             true => (InstanceChange::None, Vec::new()),
+            false if self.is_outdated(asked_at, born_ms) => return Confirmation::Outdated,
             false => self.handle_listing(now, asked_at, listing),
         };
-        match (change, self.note_heartbeat(now, heartbeat)) {
-            (InstanceChange::RunsLost, _) => Some((InstanceChange::RunsLost, calls)),
-            (_, InstanceChange::None) => Some((change, calls)),
-            (_, changed) => Some((changed, calls)),
-        }
+        let change = match (change, self.note_heartbeat(now, heartbeat)) {
+            (InstanceChange::RunsLost, _) => InstanceChange::RunsLost,
+            (change, InstanceChange::None) => change,
+            (_, changed) => changed,
+        };
+        Confirmation::Confirmed(change, calls)
     }
 
     /// Takes over a heartbeat of the present incarnation.
--- a/crates/hemlock_runs/tests/harness/mod.rs
+++ b/crates/hemlock_runs/tests/harness/mod.rs
@@ -113,7 +113,7 @@
         let confirmed = self
             .runs
             .confirm_heartbeat(self.now, self.now, heartbeat, &listing);
-        let Some((change, calls)) = confirmed else {
+        let Confirmation::Confirmed(change, calls) = confirmed else {
             return InstanceChange::None;
         };
         self.execute(calls);
--- a/crates/hemlock_runs/tests/incarnations.rs
+++ b/crates/hemlock_runs/tests/incarnations.rs
@@ -107,10 +107,32 @@
     let confirmed = harness
         .runs
         .confirm_heartbeat(harness.now, asked_at, &claimed, &late);
-    assert_eq!(confirmed, None);
+    assert_eq!(confirmed, Confirmation::Outdated);
     assert_undisturbed(&mut harness);
 }
 
+/// Guards against an instance that gets no work until its next heartbeat, because a listing was
+/// requested after the answer that confirms the heartbeat and arrived before it.
+#[test]
+fn an_answer_of_the_present_incarnation_confirms_its_heartbeat_in_any_order() {
+    let mut harness = harness_with_run();
+    harness.model = InstanceModel::new(2);
+    let asked_at = harness.now;
+    let answer = harness.model.identify(harness.runs.fence());
+    let answer = answer.expect("the call carries the highest fencing token");
+    harness.advance_ms(1);
+    assert_eq!(harness.list(), InstanceChange::RunsLost);
+    let confirmed = harness.runs.confirm_heartbeat(
+        harness.now,
+        asked_at,
+        &heartbeat(INSTANCE_NAME, 2, 1),
+        &answer,
+    );
+    let updated = Confirmation::Confirmed(InstanceChange::Updated, vec![]);
+    assert_eq!(confirmed, updated);
+    assert_eq!(harness.runs.instance(), Some(&instance(2)));
+}
+
 /// Guards against runs of a new incarnation that are reported as crashed because a call to its
 /// predecessor fails late.
 #[test]
--- a/crates/hemlock_runs/tests/simulation/runners.rs
+++ b/crates/hemlock_runs/tests/simulation/runners.rs
@@ -165,7 +165,7 @@
             let confirmed = runner
                 .runs
                 .confirm_heartbeat(now, now, &heartbeat, &listing);
-            assert_eq!(confirmed, None);
+            assert_eq!(confirmed, Confirmation::Refuted);
         }
     }
 
@@ -178,7 +178,9 @@
             return;
         };
         let confirmed = runner.runs.confirm_heartbeat(now, now, heartbeat, &listing);
-        let (change, calls) = confirmed.expect("the heartbeat is of this instance");
+        let Confirmation::Confirmed(change, calls) = confirmed else {
+            panic!("the heartbeat is of this instance");
+        };
         self.report_instance_change(index, change);
         self.make_calls(index, calls);
     }
