--- a/crates/hemlock_nodes/src/runner/heartbeats.rs
+++ b/crates/hemlock_nodes/src/runner/heartbeats.rs
@@ -10,8 +10,8 @@
 use super::Runner;
 use crate::listing_backoff::ListingBackoff;
 
-/// Time for which an instance that doesn't answer is asked to confirm a heartbeat. Instances send
-/// the next one sooner or soon after.
+/// Time for which an instance that doesn't answer is asked to confirm a heartbeat. A later heartbeat
+/// starts another attempt.
 const CONFIRMATION_TIMEOUT: DurationMs = DurationMs::new(1_500);
 /// Most heartbeats that wait for their confirmation at once. Further ones are dropped, so that
 /// another writer can't make the runner flood the instance with calls.
--- a/crates/hemlock_runs/src/runs/incarnation.rs
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -67,7 +67,7 @@
     since: Instant,
     /// Highest sequence number of its heartbeats.
     max_sequence: u64,
-    /// A service that its latest heartbeat named and its earlier ones did not.
+    /// The service in its latest heartbeat, if that differs from the one in the heartbeats before.
     other_service: Option<String>,
 }
 
