--- a/crates/hemlock_nodes/src/hedge.rs
+++ b/crates/hemlock_nodes/src/hedge.rs
@@ -2,8 +2,9 @@
 //!
 //! Covers lost answers: an instance may leave a call unanswered and execute it seconds later or
 //! never. Waiting for the timeout of such a call takes longer than most tasks may wait. Repeating a
-//! call is safe because every call is idempotent: a start names its run, a stop fences its run, and
-//! a lease never gets shorter.
+//! call is safe because every call is idempotent at one incarnation of the instance: a start names
+//! its run, a stop fences its run, and a lease never gets shorter. The next incarnation knows none
+//! of this, so no call is repeated after a loss.
 
 use std::cell::Cell;
 use std::rc::Rc;
