Count checks of heartbeats, losses of instances and dropped requests

Operators saw these only in log lines. New counters: hemlock_runner_heartbeat_checks_total, hemlock_runner_instance_losses_total and hemlock_http_dropped_total.

--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -51,6 +51,12 @@
             .increment(1);
     }
 
+    /// Counts a request whose connection was reset before the handler was called.
+    fn count_dropped_request(&self) {
+        let instance = self.config.instance.clone();
+        counter!("hemlock_http_dropped_total", "instance" => instance).increment(1);
+    }
+
     fn count_response(&self, status: u16) {
         let instance = self.config.instance.clone();
         let class = match status {
@@ -124,6 +130,7 @@
             let head_only = head.method == Method::Head;
             let keep_alive = head.keep_alive;
             let is_closed = self.is_closed_by_client().inspect_err(|_| {
+                self.state.count_dropped_request();
                 info!(event = "request-dropped", method = %head.method, path = head.path,
                       reason = "connection reset");
             })?;
--- a/crates/hemlock_nodes/src/runner/heartbeats.rs
+++ b/crates/hemlock_nodes/src/runner/heartbeats.rs
@@ -17,6 +17,11 @@
 /// another writer can't make the runner flood the instance with calls.
 const MAX_UNCONFIRMED_HEARTBEATS: usize = 8;
 
+/// Counts a heartbeat of an unconfirmed incarnation by the outcome of its check.
+fn count_check(outcome: &'static str) {
+    metrics::counter!("hemlock_runner_heartbeat_checks_total", "outcome" => outcome).increment(1);
+}
+
 impl Runner {
     /// Handles a heartbeat. One that names another incarnation than the present one has an effect
     /// only once the instance that it names has answered.
@@ -69,6 +74,7 @@
     fn request_confirmation(self: &Rc<Self>, heartbeat: Heartbeat) {
         let waiting = self.unconfirmed_heartbeats.get();
         if waiting >= MAX_UNCONFIRMED_HEARTBEATS {
+            count_check("dropped");
             warn!(
                 event = "beat-dropped",
                 instance = heartbeat.instance.id.name,
@@ -100,6 +106,7 @@
             match self.driver.identify(id.name.clone(), fence).await {
                 Ok(listing) => match self.handle_identity(asked_at, heartbeat, &listing) {
                     Confirmation::Confirmed(change, calls) => {
+                        count_check("confirmed");
                         self.apply_heartbeat(heartbeat, change);
                         self.make_calls(calls);
                         return;
@@ -114,6 +121,7 @@
                 }
             }
         };
+        count_check(refutation);
         let age_ms = self.clock.now().since(received_at).as_ms();
         warn!(
             event = "beat-unconfirmed",
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -196,6 +196,7 @@
     fn report_instance_change(self: &Rc<Self>, change: InstanceChange) {
         let runs_lost = change == InstanceChange::RunsLost;
         if runs_lost {
+            metrics::counter!("hemlock_runner_instance_losses_total").increment(1);
             self.driver.note_instance_lost();
         }
         self.report_outcomes();
