Review case 7: a new leader starts a task that runs elsewhere

After a change of the leader, the end of an older run that a returning runner reports sets the task waiting at once, and it is started again while a later run is at work at another minion whose runner has not reported yet.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 rig=review/standin-2/target/release/review-rig
 [ -x "$rig" ] || { echo "review/build-2.sh has not run"; exit 2; }
-exec "$rig" crashed review/7/record.txt
+exec "$rig" twice review/7/record.txt
--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,7 +1,9 @@
 //! The cases.
 
 mod crashed;
+mod soak;
 mod starved;
+mod twice;
 
 use std::path::Path;
 use std::sync::Arc;
@@ -36,6 +38,8 @@
         match case {
             "starved" => self.starved(),
             "crashed" => self.crashed(),
+            "twice" => self.twice(),
+            "soak" => self.soak(),
             other => Verdict::NotRun(format!("no case {other}")),
         }
     }
