--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,5 +1,7 @@
 //! The cases.
 
+mod abandoned;
+mod counted;
 mod crashed;
 mod soak;
 mod starved;
@@ -37,7 +39,9 @@
     pub fn play(&self, case: &str) -> Verdict {
         match case {
             "starved" => self.starved(),
+            "abandoned" => self.abandoned(),
             "crashed" => self.crashed(),
+            "counted" => self.counted(),
             "twice" => self.twice(),
             "soak" => self.soak(),
             other => Verdict::NotRun(format!("no case {other}")),
