--- a/review/standin-2/src/cases/soak.rs
+++ b/review/standin-2/src/cases/soak.rs
@@ -177,11 +177,11 @@
 }
 
 fn pick_fault(rng: &mut Rng) -> (&'static str, u64) {
-    const FAULTS: [&str; 17] = [
+    const FAULTS: [&str; 22] = [
         "kill coordinator",
         "freeze coordinator",
         "stop coordinator",
-        "kill leader",
+        "kill leader", "wipe coordinator", "wipe leader",
         "freeze leader",
         "stop leader",
         "kill runner",
@@ -194,10 +194,17 @@
         "alike",
         "leave",
         "leave",
-        "both",
+        "both", "herd", "mute", "reset",
     ];
-    let at = rng.below(FAULTS.len() as u64) as usize;
-    (FAULTS[at], rng.next())
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let only: Vec<&str> = only.split(',').filter(|name| !name.is_empty()).collect();
+    let faults: Vec<&str> = match only.is_empty() {
+        true => FAULTS.to_vec(),
+        false => FAULTS.iter().copied().filter(|fault| only.contains(fault)).collect(),
+    };
+    let at = rng.below(faults.len() as u64) as usize;
+    let name = FAULTS.iter().copied().find(|fault| *fault == faults[at]);
+    (name.unwrap_or("late"), rng.next())
 }
 
 fn disturb(
@@ -208,6 +215,29 @@
 ) {
     let (fault, number) = pick_fault(rng);
     let pause = |rng: &mut Rng, most: u64| thread::sleep(Duration::from_millis(rng.below(most)));
+    if fault == "herd" {
+        {
+            let mut busy = busy.lock().unwrap();
+            if busy.iter().any(|(role, _)| *role == Role::Coordinator) {
+                return;
+            }
+            busy.extend((0..deployment.size.coordinators).map(|i| (Role::Coordinator, i)));
+        }
+        deployment.record.note("FAULT herd");
+        for index in 0..deployment.size.coordinators {
+            deployment.signal(Role::Coordinator, index, "KILL");
+        }
+        for index in 0..deployment.size.coordinators {
+            deployment.join(Role::Coordinator, index, Duration::from_secs(1));
+        }
+        pause(rng, 900);
+        for index in 0..deployment.size.coordinators {
+            deployment.spawn(Role::Coordinator, index, false);
+        }
+        thread::sleep(Duration::from_secs(7));
+        busy.lock().unwrap().retain(|(role, _)| *role != Role::Coordinator);
+        return;
+    }
     let mut words = fault.split(' ');
     let how = words.next().unwrap_or_default();
     let what = words.next().unwrap_or_default();
@@ -235,6 +265,13 @@
     }
     deployment.record.note(format!("FAULT {fault} {index}"));
     match how {
+        "wipe" => {
+            deployment.signal(role, index, "KILL");
+            deployment.join(role, index, Duration::from_secs(1));
+            deployment.wipe(index);
+            pause(rng, 1_500);
+            deployment.spawn(role, index, false);
+        }
         "kill" => {
             deployment.signal(role, index, "KILL");
             deployment.join(role, index, Duration::from_secs(1));
@@ -260,6 +297,14 @@
             deployment.minions[index].execute_late_for(Duration::from_millis(span));
             thread::sleep(Duration::from_millis(span));
         }
+        "mute" | "reset" => {
+            let span = Duration::from_millis(rng.below(6_500));
+            match how {
+                "mute" => deployment.minions[index].mute_for(span),
+                _ => deployment.minions[index].reset_for(span),
+            }
+            thread::sleep(span);
+        }
         "alike" => {
             deployment.minions[index].crash();
             pause(rng, 600);
@@ -289,6 +334,10 @@
         }
         _ => {}
     }
+    if role == Role::Coordinator {
+        // A machine counts as lost until `catchUpS` after it is back.
+        thread::sleep(Duration::from_millis(4_500));
+    }
     busy.lock().unwrap().retain(|other| *other != (role, index));
 }
 
@@ -309,7 +358,8 @@
         let busy = Arc::new(Mutex::new(Vec::new()));
         let mut threads = Vec::new();
         if self.trouble {
-            for stream in 0..3 {
+            let streams = std::env::var("STREAMS").ok().and_then(|t| t.parse().ok()).unwrap_or(3);
+            for stream in 0..streams {
                 let (deployment, over, busy) = (
                     Arc::clone(&deployment),
                     Arc::clone(&faults_over),
@@ -327,6 +377,7 @@
         let mut rng = Rng::new(self.seed);
         let mut number = 0;
         let mut version = 1;
+        let mut acknowledged = 1;
         let begun = std::time::Instant::now();
         while begun.elapsed().as_secs() < seconds {
             number += 1;
@@ -340,6 +391,9 @@
                 let document = three_queues(version);
                 let index = rng.below(5) as usize;
                 let reply = deployment.operator(index, "PUT", &document);
+                if reply.as_ref().is_some_and(|reply| reply.status == 200) {
+                    acknowledged = version;
+                }
                 deployment.record.note(format!(
                     "operator PUT {version} at {index}: {:?}",
                     reply.map(|r| r.status)
@@ -386,6 +440,13 @@
                 .unwrap()
                 .final_state = state;
         }
+        for index in 0..deployment.size.coordinators {
+            let read = deployment.operator(index, "GET", "");
+            let read = read.and_then(|reply| reply.body["version"].as_u64());
+            if read.is_some_and(|read| read < acknowledged) {
+                findings.push(format!("CONFIG: {read:?} is read, {acknowledged} acknowledged"));
+            }
+        }
         let ended = deployment.ended_by_themselves();
         if !ended.is_empty() {
             findings.push(format!("processes that ended by themselves: {ended:?}"));
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -304,6 +304,12 @@
             .note(format!("{}-{index} has ended", role.name()));
     }
 
+    /// Empties the disk of a coordinator whose process has ended.
+    pub fn wipe(&self, index: usize) {
+        self.record.note(format!("the disk of coordinator-{index} is lost"));
+        let _ = std::fs::remove_dir_all(self.folder.join(format!("data-{index}")));
+    }
+
     /// The processes that have ended by themselves.
     pub fn ended_by_themselves(&self) -> Vec<String> {
         let mut processes = self.processes.lock().unwrap();
--- a/review/standin-2/src/minion.rs
+++ b/review/standin-2/src/minion.rs
@@ -67,6 +67,10 @@
     streams: Vec<TcpStream>,
     /// Until then a share of the orders is left unanswered and carried out late.
     late_until: Option<Instant>,
+    /// Until then calls are carried out and not answered.
+    mute_until: Option<Instant>,
+    /// Until then connections are closed instead of an answer.
+    reset_until: Option<Instant>,
     orders: u64,
 }
 
@@ -232,6 +236,16 @@
         self.state.lock().unwrap().late_until = Some(Instant::now() + span);
     }
 
+    /// Carries calls out without an answer for a while.
+    pub fn mute_for(&self, span: Duration) {
+        self.state.lock().unwrap().mute_until = Some(Instant::now() + span);
+    }
+
+    /// Closes connections without an answer for a while.
+    pub fn reset_for(&self, span: Duration) {
+        self.state.lock().unwrap().reset_until = Some(Instant::now() + span);
+    }
+
     pub fn id(&self) -> String {
         self.state.lock().unwrap().id.clone()
     }
@@ -405,10 +419,19 @@
                 return None;
             }
         }
+        let is_now = |until: Option<Instant>| until.is_some_and(|until| Instant::now() < until);
+        if is_now(self.state.lock().unwrap().reset_until) {
+            return None;
+        }
         if !is_order {
             self.await_end(request, life);
         }
-        self.execute(request, life)
+        let answer = self.execute(request, life);
+        if is_now(self.state.lock().unwrap().mute_until) {
+            thread::sleep(Duration::from_secs(20));
+            return None;
+        }
+        answer
     }
 
     fn await_end(&self, request: &Request, life: u64) {
