--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod abandoned;
 mod counted;
 mod crashed;
+mod fuzz;
 mod soak;
 mod starved;
 mod twice;
@@ -44,6 +45,7 @@
             "counted" => self.counted(),
             "twice" => self.twice(),
             "soak" => self.soak(),
+            "fuzz" => self.fuzz(),
             other => Verdict::NotRun(format!("no case {other}")),
         }
     }
@@ -51,8 +53,14 @@
     /// Starts a deployment that serves, with the three queues.
     pub fn deploy(&self, size: Size) -> Result<Deployment, Verdict> {
         let record = Arc::clone(&self.record);
-        let deployment = Deployment::start(self.program, self.folder, size, record, |_| {
-            SERVICE.to_owned()
+        let deployment = Deployment::start(self.program, self.folder, size, record, |index| {
+            let flips = std::env::var_os("FLIP").is_some();
+            let service = if flips && index % 2 == 1 {
+                soak::OTHER
+            } else {
+                SERVICE
+            };
+            service.to_owned()
         });
         if !deployment.configure(&three_queues(1)) {
             return Err(Verdict::NotRun(
@@ -67,10 +75,19 @@
 }
 
 pub fn three_queues(version: u64) -> String {
-    let routes = [
+    with_routes(version, 0)
+}
+
+/// The three queues and further routes that nobody uses.
+pub fn with_routes(version: u64, further: usize) -> String {
+    let mut routes = vec![
         route("pereotsing", SEARCH, SERVICE, 0, 4),
         route("uus-kuulutus", POSTING, SERVICE, 1, 2),
         route("kohtumine", VISIT, SERVICE, 2, 2),
     ];
+    routes.extend((0..further).map(|at| {
+        let name = format!("idle-{version}-{at}");
+        route(&name, &format!("/idle{at}/"), SERVICE, 1, 2)
+    }));
     configuration(version, &routes, &[SERVICE])
 }
--- a/review/standin-2/src/cases/soak.rs
+++ b/review/standin-2/src/cases/soak.rs
@@ -8,12 +8,14 @@
 
 use serde_json::{Value, json};
 
-use super::{POSTING, Run, SEARCH, SMALL, VISIT, three_queues};
+use super::{POSTING, Run, SEARCH, SERVICE, SMALL, VISIT, with_routes};
 use crate::Verdict;
-use crate::deployment::{CPU, Deployment, Role, job};
+use crate::deployment::{CPU, Deployment, Role, configuration, job, route};
 use crate::minion::RunEvent;
 
 const TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A second service, whose minions have odd numbers.
+pub const OTHER: &str = "loovutus-vana";
 const FINISH: Duration = Duration::from_secs(16);
 
 pub struct Rng(u64);
@@ -51,6 +53,8 @@
     /// Most tasks of a step on one minion; zero for no limit.
     spread: u64,
     best_effort: bool,
+    prefix: String,
+    first_sent_ms: u64,
     final_state: String,
 }
 
@@ -86,6 +90,8 @@
         most_failures: attempts,
         spread,
         best_effort,
+        prefix: prefix.to_owned(),
+        first_sent_ms: deployment.record.now_ms(),
         ..JobSeen::default()
     };
     jobs.lock().unwrap().insert(id.clone(), entry);
@@ -181,7 +187,9 @@
         "kill coordinator",
         "freeze coordinator",
         "stop coordinator",
-        "kill leader", "wipe coordinator", "wipe leader",
+        "kill leader",
+        "wipe coordinator",
+        "wipe leader",
         "freeze leader",
         "stop leader",
         "kill runner",
@@ -194,13 +202,20 @@
         "alike",
         "leave",
         "leave",
-        "both", "herd", "mute", "reset",
+        "both",
+        "herd",
+        "mute",
+        "reset",
     ];
     let only = std::env::var("ONLY").unwrap_or_default();
     let only: Vec<&str> = only.split(',').filter(|name| !name.is_empty()).collect();
     let faults: Vec<&str> = match only.is_empty() {
         true => FAULTS.to_vec(),
-        false => FAULTS.iter().copied().filter(|fault| only.contains(fault)).collect(),
+        false => FAULTS
+            .iter()
+            .copied()
+            .filter(|fault| only.contains(fault))
+            .collect(),
     };
     let at = rng.below(faults.len() as u64) as usize;
     let name = FAULTS.iter().copied().find(|fault| *fault == faults[at]);
@@ -235,7 +250,9 @@
             deployment.spawn(Role::Coordinator, index, false);
         }
         thread::sleep(Duration::from_secs(7));
-        busy.lock().unwrap().retain(|(role, _)| *role != Role::Coordinator);
+        busy.lock()
+            .unwrap()
+            .retain(|(role, _)| *role != Role::Coordinator);
         return;
     }
     let mut words = fault.split(' ');
@@ -358,7 +375,10 @@
         let busy = Arc::new(Mutex::new(Vec::new()));
         let mut threads = Vec::new();
         if self.trouble {
-            let streams = std::env::var("STREAMS").ok().and_then(|t| t.parse().ok()).unwrap_or(3);
+            let streams = std::env::var("STREAMS")
+                .ok()
+                .and_then(|t| t.parse().ok())
+                .unwrap_or(3);
             for stream in 0..streams {
                 let (deployment, over, busy) = (
                     Arc::clone(&deployment),
@@ -378,6 +398,12 @@
         let mut number = 0;
         let mut version = 1;
         let mut acknowledged = 1;
+        let mut versions: Vec<(u64, Option<u64>, &str)> = vec![(0, Some(0), SERVICE)];
+        let bulk = std::env::var("BULK")
+            .ok()
+            .and_then(|t| t.parse().ok())
+            .unwrap_or(0);
+        let every = if bulk > 0 { 8 } else { 40 };
         let begun = std::time::Instant::now();
         while begun.elapsed().as_secs() < seconds {
             number += 1;
@@ -386,13 +412,26 @@
             threads.push(thread::spawn(move || {
                 submit(&deployment_of, &mut own, &jobs_of, number, false)
             }));
-            if number % 40 == 0 {
+            if number % every == 0 {
                 version += 1;
-                let document = three_queues(version);
+                let flips = std::env::var_os("FLIP").is_some();
+                let service = if flips && version % 2 == 0 {
+                    OTHER
+                } else {
+                    SERVICE
+                };
+                let document = match flips {
+                    true => flipped(version, service),
+                    false => with_routes(version, bulk),
+                };
+                let sent_ms = self.record.now_ms();
                 let index = rng.below(5) as usize;
                 let reply = deployment.operator(index, "PUT", &document);
                 if reply.as_ref().is_some_and(|reply| reply.status == 200) {
                     acknowledged = version;
+                    versions.push((sent_ms, Some(self.record.now_ms()), service));
+                } else {
+                    versions.push((sent_ms, None, service));
                 }
                 deployment.record.note(format!(
                     "operator PUT {version} at {index}: {:?}",
@@ -444,7 +483,9 @@
             let read = deployment.operator(index, "GET", "");
             let read = read.and_then(|reply| reply.body["version"].as_u64());
             if read.is_some_and(|read| read < acknowledged) {
-                findings.push(format!("CONFIG: {read:?} is read, {acknowledged} acknowledged"));
+                findings.push(format!(
+                    "CONFIG: {read:?} is read, {acknowledged} acknowledged"
+                ));
             }
         }
         let ended = deployment.ended_by_themselves();
@@ -454,6 +495,7 @@
         let events: Vec<RunEvent> = deployment.minions.iter().flat_map(|m| m.events()).collect();
         judge(&jobs.lock().unwrap(), &events, &mut findings);
         check_capacity(&jobs.lock().unwrap(), &events, &mut findings);
+        check_service(&jobs.lock().unwrap(), &events, &versions, &mut findings);
         check_spread(&jobs.lock().unwrap(), &events, &mut findings);
         let accepted = jobs
             .lock()
@@ -633,6 +675,57 @@
     }
 }
 
+/// The configuration in which one queue is served by `service`.
+fn flipped(version: u64, service: &str) -> String {
+    let routes = [
+        route("pereotsing", SEARCH, SERVICE, 0, 4),
+        route("uus-kuulutus", POSTING, SERVICE, 1, 2),
+        route("kohtumine", VISIT, service, 2, 2),
+    ];
+    configuration(version, &routes, &[SERVICE, OTHER])
+}
+
+/// Looks for runs at a service that only an older configuration than the one in force names.
+fn check_service(
+    jobs: &BTreeMap<String, JobSeen>,
+    events: &[RunEvent],
+    versions: &[(u64, Option<u64>, &str)],
+    findings: &mut Vec<String>,
+) {
+    for event in events {
+        let Some((id, _, _)) = parse(&event.task) else {
+            continue;
+        };
+        let Some(job) = jobs.get(&id).filter(|job| job.prefix == VISIT) else {
+            continue;
+        };
+        let in_force = versions
+            .iter()
+            .rposition(|(_, acked, _)| acked.is_some_and(|at| at + 2_000 < job.first_sent_ms))
+            .unwrap_or(0);
+        let number: usize = event
+            .minion
+            .split('-')
+            .nth(1)
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0);
+        let service = if number % 2 == 1 && std::env::var_os("FLIP").is_some() {
+            OTHER
+        } else {
+            SERVICE
+        };
+        let allowed = versions[in_force..]
+            .iter()
+            .any(|(sent, _, of)| *of == service && *sent <= event.started_ms);
+        if !allowed {
+            findings.push(format!(
+                "CONFIG?: {} at {} at {}, sent {}",
+                event.task, event.minion, event.started_ms, job.first_sent_ms
+            ));
+        }
+    }
+}
+
 /// Looks for more tasks of one step at a minion than the step allows.
 fn check_spread(jobs: &BTreeMap<String, JobSeen>, events: &[RunEvent], findings: &mut Vec<String>) {
     for event in events {
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -171,6 +171,10 @@
         self.address(Role::Gateway, index, self.ports.caller)
     }
 
+    pub fn runner_control(&self, index: usize) -> SocketAddr {
+        self.address(Role::Runner, index, self.ports.control)
+    }
+
     pub fn control(&self, index: usize) -> SocketAddr {
         self.address(Role::Coordinator, index, self.ports.control)
     }
@@ -306,7 +310,8 @@
 
     /// Empties the disk of a coordinator whose process has ended.
     pub fn wipe(&self, index: usize) {
-        self.record.note(format!("the disk of coordinator-{index} is lost"));
+        self.record
+            .note(format!("the disk of coordinator-{index} is lost"));
         let _ = std::fs::remove_dir_all(self.folder.join(format!("data-{index}")));
     }
 
--- a/review/standin-2/src/minion.rs
+++ b/review/standin-2/src/minion.rs
@@ -250,6 +250,10 @@
         self.state.lock().unwrap().id.clone()
     }
 
+    pub fn born(&self) -> u64 {
+        self.state.lock().unwrap().born
+    }
+
     pub fn is_up(&self) -> bool {
         self.state.lock().unwrap().alive
     }
