--- a/review/standin-2/src/cases/fuzz.rs
+++ b/review/standin-2/src/cases/fuzz.rs
@@ -7,7 +7,7 @@
 use super::soak::Rng;
 use super::{POSTING, Run, SEARCH, SMALL, three_queues};
 use crate::Verdict;
-use crate::deployment::{HOST, Role, job, step};
+use crate::deployment::{HOST, job, step};
 use crate::http;
 
 fn odd(rng: &mut Rng) -> Value {
@@ -177,7 +177,6 @@
             "seed {}: messages {counts:?}; ended by themselves: {ended:?}",
             self.seed
         );
-        let _ = Role::Runner;
         match ended.first() {
             None => Verdict::Held,
             Some(first) => Verdict::Broken(format!("a process ended by itself: {first}")),
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -16,7 +16,6 @@
 pub struct Reply {
     pub status: u16,
     pub body: Value,
-    pub location: Option<String>,
 }
 
 /// A connection with the bytes that were read and not used.
@@ -144,18 +143,10 @@
             body.len()
         );
         self.stream.write_all(text.as_bytes()).ok()?;
-        let (first, headers, body) = self.read_message(Some(until))?;
+        let (first, _, body) = self.read_message(Some(until))?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
-        let location = headers
-            .into_iter()
-            .find(|(name, _)| name == "location")
-            .map(|(_, value)| value);
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        Some(Reply {
-            status,
-            body,
-            location,
-        })
+        Some(Reply { status, body })
     }
 }
 
--- a/review/standin-2/src/minion.rs
+++ b/review/standin-2/src/minion.rs
@@ -254,10 +254,6 @@
         self.state.lock().unwrap().born
     }
 
-    pub fn is_up(&self) -> bool {
-        self.state.lock().unwrap().alive
-    }
-
     pub fn runs(&self) -> BTreeMap<String, Run> {
         self.state.lock().unwrap().running.clone()
     }
