--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -67,7 +67,7 @@
     program: PathBuf,
     subnet: (u8, u8),
     ports: Ports,
-    processes: Mutex<Vec<(Role, usize, Child)>>,
+    processes: Processes,
 }
 
 fn free_port() -> u16 {
@@ -130,8 +130,12 @@
                 readiness: free_port(),
                 app: free_port(),
             },
-            processes: Mutex::default(),
+            processes: Arc::default(),
         };
+        STARTED
+            .lock()
+            .unwrap()
+            .push(Arc::clone(&deployment.processes));
         for index in 0..size.runners {
             let minion = Minion::new(
                 index,
@@ -422,6 +426,23 @@
     }
 }
 
+/// Processes of one deployment.
+type Processes = Arc<Mutex<Vec<(Role, usize, Child)>>>;
+
+/// The processes of all deployments of this play. Threads of clients may hold a deployment until
+/// the play ends, so that it isn't dropped before.
+static STARTED: Mutex<Vec<Processes>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started and are still there.
+pub fn end_all() {
+    for processes in STARTED.lock().unwrap().iter() {
+        for (_, _, child) in processes.lock().unwrap().iter_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         for (_, _, child) in self.processes.lock().unwrap().iter_mut() {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -52,6 +52,7 @@
         seed,
     };
     let verdict = run.play(case);
+    deployment::end_all();
     let (text, code) = match verdict {
         Verdict::Held => ("held".to_owned(), 0),
         Verdict::Broken(text) => (format!("broken: {text}"), 1),
