--- a/review/standin-2/src/cases/abandoned.rs
+++ b/review/standin-2/src/cases/abandoned.rs
@@ -10,7 +10,7 @@
 use crate::Verdict;
 use crate::deployment::{job, step};
 
-const ID: &str = "5c0e7a21d94b36f8";
+const ID: &str = "5c0e7a21d94b36fa";
 /// Steps of the job, one after another, with one task each.
 const STEPS: u64 = 10;
 const WORK_MS: u64 = 900;
--- a/review/standin-2/src/cases/counted.rs
+++ b/review/standin-2/src/cases/counted.rs
@@ -35,7 +35,7 @@
         sent += 1;
         thread::spawn(move || {
             let body = job("work=300", true, &[step(8, 6_200, 300)]);
-            let path = format!("{SEARCH}beef0000{number:08x}");
+            let path = format!("{SEARCH}beef0000{number:07x}a");
             let deadline = "X-Deadline-Ms: 1500\r\n";
             deployment.client(number as usize % 4, "POST", &path, deadline, &body, TIMEOUT);
         });
@@ -61,10 +61,10 @@
         let mut accepted = Vec::new();
         for number in 0..JOBS {
             let body = job("work=900", false, &[step(4, 6_200, 900)]);
-            let path = format!("{VISIT}5c0e7a21{number:08x}");
+            let path = format!("{VISIT}5c0e7a21{number:07x}a");
             let reply = deployment.client(number as usize % 4, "POST", &path, "", &body, TIMEOUT);
             if reply.is_some_and(|reply| reply.status == 200) {
-                accepted.push((format!("5c0e7a21{number:08x}."), self.record.now_ms()));
+                accepted.push((format!("5c0e7a21{number:07x}a."), self.record.now_ms()));
             }
             thread::sleep(Duration::from_millis(50));
         }
--- a/review/standin-2/src/cases/crashed.rs
+++ b/review/standin-2/src/cases/crashed.rs
@@ -9,9 +9,9 @@
 use crate::deployment::{Deployment, job, step};
 use crate::minion::Minion;
 
-const ID: &str = "5c0e7a21d94b36f8";
+const ID: &str = "5c0e7a21d94b36fa";
 /// Task of the job at whose minions the platform's crashes happen.
-const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
+const TASK: &str = "5c0e7a21d94b36fa.0.0.0";
 /// Work of a task.
 const WORK_MS: u64 = 6_000;
 /// Time for which a task has run when its minion crashes.
--- a/review/standin-2/src/cases/fuzz.rs
+++ b/review/standin-2/src/cases/fuzz.rs
@@ -110,9 +110,9 @@
                     }
                     let body = text(&body, &mut rng);
                     let path = format!(
-                        "{}{:016x}",
+                        "{}{:015x}a",
                         [SEARCH, POSTING][rng.below(2) as usize],
-                        rng.next()
+                        rng.next() >> 4
                     );
                     let header = [
                         "",
--- a/review/standin-2/src/cases/soak.rs
+++ b/review/standin-2/src/cases/soak.rs
@@ -61,7 +61,7 @@
 type Jobs = Arc<Mutex<BTreeMap<String, JobSeen>>>;
 
 fn submit(deployment: &Deployment, rng: &mut Rng, jobs: &Jobs, number: u64, calm: bool) {
-    let id = format!("{:08x}{number:08x}", rng.next() as u32);
+    let id = format!("{:08x}{number:07x}a", rng.next() as u32);
     let (prefix, attempts) = [(SEARCH, 4), (POSTING, 2), (VISIT, 2)][rng.below(3) as usize];
     let work = [40, 100, 300, 900, 2_500][rng.below(5) as usize];
     let count = 1 + rng.below(8);
--- a/review/standin-2/src/cases/starved.rs
+++ b/review/standin-2/src/cases/starved.rs
@@ -24,7 +24,7 @@
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
 fn path(number: u64) -> String {
-    format!("{POSTING}5c0e7a21{number:08x}")
+    format!("{POSTING}5c0e7a21{number:07x}a")
 }
 
 fn state(deployment: &Deployment, number: u64) -> String {
@@ -87,7 +87,7 @@
             .filter(|event| event.ended_ms.is_none_or(|at| at >= begun_ms))
             .count();
         let ran_since = |number: u64| {
-            let prefix = format!("5c0e7a21{number:08x}.");
+            let prefix = format!("5c0e7a21{number:07x}a.");
             events.iter().any(|event| {
                 event.task.starts_with(&prefix) && event.ended_ms.is_none_or(|at| at >= begun_ms)
             })
--- a/review/standin-2/src/cases/twice.rs
+++ b/review/standin-2/src/cases/twice.rs
@@ -8,8 +8,8 @@
 use crate::deployment::{Deployment, Role, job, step};
 use crate::minion::RunEvent;
 
-const ID: &str = "5c0e7a21d94b36f8";
-const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
+const ID: &str = "5c0e7a21d94b36fa";
+const TASK: &str = "5c0e7a21d94b36fa.0.0.0";
 /// Time for which the task runs before its runner stands still.
 const BEFORE_FREEZE: Duration = Duration::from_secs(1);
 /// One way in which a task is started again.
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -374,7 +374,7 @@
             loop {
                 probe += 1;
                 let body = job("work=10", true, &[step(1, 1_000, 10)]);
-                let path = format!("{prefix}ffff{probe:012x}");
+                let path = format!("{prefix}ffff{probe:011x}a");
                 let reply = http::call(
                     self.gateway(index),
                     "POST",
