Judge runs of earlier leaders by their numbers during a takeover

Cause: the log records ends, not starts. A new leader took every reported run of an open task for its latest one, so the end of an older run, reported first, made the task wait for its next run before the agent of the latest one had reported. The active latest run was then stopped, and its success was confirmed without a record.

Change: of the runs that agents report during a takeover, the one with the highest number counts. Its end takes effect at once only if the agent proves that no later run exists; otherwise the task stays unknown until all agents have reported or their leases have lapsed. Failures are recorded at once, successes are deferred and reported again. Inventories name the runs that are certain to be the latest ones, so that a takeover waits no longer than before for agents that have stayed in touch. Ends in a voided session are no longer confirmed.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -4,6 +4,7 @@
 use hemlock_types::time::Instant;
 
 use super::Dispatcher;
+use super::takeover::RunStanding;
 use crate::instance::Run;
 use crate::job::TaskState;
 use crate::order::{EndAction, RefusalReason, RunEnd, RunReport, SessionId};
@@ -13,26 +14,31 @@
 const SKIPPED_RUN_NUMBERS: u64 = 100;
 
 impl Dispatcher {
-    /// Processes the end of a run that an agent has reported in its session.
+    /// Processes the end of a run that an agent has reported in its session. Returns `None` if the
+    /// session is void, so that the end may not be confirmed.
     pub fn report_end(
         &mut self,
         now: Instant,
         id: AgentId,
         session: SessionId,
         report: RunReport,
-    ) -> EndAction {
+    ) -> Option<EndAction> {
         self.advance(now);
-        match self.agent_in_session(id, session) {
-            Some(_) => self.run_ended(id, report),
-            None => EndAction::Confirm,
-        }
+        self.agent_in_session(id, session)?;
+        Some(self.run_ended(id, report, false))
     }
 
-    /// Processes the end of a run.
+    /// Processes the end of a run. `is_latest` says that the agent can rule out that an earlier
+    /// leader has started a later one.
     ///
     /// Only the end of the task's current run has an effect. The end of any other run was processed
     /// before, or arrived after the run's lease had expired.
-    pub(super) fn run_ended(&mut self, id: AgentId, report: RunReport) -> EndAction {
+    pub(super) fn run_ended(
+        &mut self,
+        id: AgentId,
+        report: RunReport,
+        is_latest: bool,
+    ) -> EndAction {
         let (task, number) = (report.task, report.run);
         let Some(end) = report.end else {
             return EndAction::Confirm;
@@ -43,7 +49,15 @@
             .and_then(|agent| agent.remove_run(task, number));
         self.placement_due = true;
         self.note_may_have_run(task);
+        if self.run_standing(id, &report) == RunStanding::LatestReported {
+            self.adopt_latest(id, &report, is_latest);
+        }
         match (self.task_state(task), end) {
+            (Some(TaskState::Running(agent, run)), _)
+                if agent == id && run == number && !self.is_latest_known(task) =>
+            {
+                return self.end_unproven(id, &report, end);
+            }
             (Some(TaskState::Running(agent, run)), _) if agent == id && run == number => {}
             // The end was reported again before its record is known to be durable.
             (Some(TaskState::Ending(run)), RunEnd::Done) if run == number => {
@@ -70,7 +84,7 @@
             }
             RunEnd::Stalled => {
                 self.note_instance_failure(id, task);
-                self.set_waiting(task);
+                self.requeue(task);
                 EndAction::Confirm
             }
             RunEnd::Crashed(suspicion) => {
@@ -78,7 +92,7 @@
                 self.begin_recording(task, number, TaskEnd::Crashed(suspicion))
             }
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
-                self.set_waiting(task);
+                self.requeue(task);
                 EndAction::Confirm
             }
         }
@@ -155,7 +169,7 @@
                 job.set_state(task, TaskState::Done);
                 self.rerank(task.job);
             }
-            TaskEnd::Failed | TaskEnd::Crashed(_) => self.set_waiting(task),
+            TaskEnd::Failed | TaskEnd::Crashed(_) => self.requeue(task),
         }
     }
 
@@ -218,14 +232,7 @@
         }
         self.placement_due = true;
         if self.task_state(task) == Some(TaskState::Running(id, number)) {
-            self.set_waiting(task);
-        }
-    }
-
-    pub(super) fn set_waiting(&mut self, task: TaskKey) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.set_state(task, TaskState::Waiting);
+            self.requeue(task);
         }
-        self.rerank(task.job);
     }
 }
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod place;
 mod scarcity;
 mod sessions;
+mod takeover;
 mod tick;
 mod withdrawal;
 
@@ -78,6 +79,8 @@
     /// End of the time in which agents of earlier leaders may still run tasks; `None` once it is
     /// over.
     takeover_until: Option<Instant>,
+    /// Successes of earlier leaders' runs that are still to be recorded.
+    proven_successes: Vec<(TaskKey, RunNumber)>,
     /// Whether a change since the last placement pass may allow another start.
     placement_due: bool,
     next_scan: Instant,
@@ -113,6 +116,7 @@
             run_floor: RunNumber(store.generation().saturating_sub(1) * RUNS_PER_GENERATION),
             awaiting_inventory: store.agents().clone(),
             takeover_until: Some(now + settings.expiry()),
+            proven_successes: Vec::new(),
             placement_due: true,
             next_scan: now,
             dropped_runs: VecDeque::new(),
@@ -202,6 +206,9 @@
                     false => unfinished_state,
                 },
                 last_run: run_floor,
+                reported_run: RunNumber::default(),
+                is_latest_known: unfinished_state != TaskState::Unknown,
+                unproven_success: None,
                 avoid_agent: None,
                 instance_failures: 0,
                 strong_crashes: 0,
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -4,8 +4,8 @@
 use hemlock_types::time::Instant;
 
 use super::Dispatcher;
+use super::takeover::RunStanding;
 use crate::instance::{Agent, Run};
-use crate::job::TaskState;
 use crate::order::{EndAction, Inventory, LoadReport, RunReport, SessionId, StopOrder};
 
 /// The dispatcher's answer to an agent's inventory.
@@ -62,11 +62,13 @@
             .for_each(|outage| self.note_outage(outage));
         let mut adoption = Adoption::default();
         for report in &inventory.runs {
+            let is_latest = inventory.proves_latest(report);
             match report.end {
-                None => adoption.stops.extend(self.adopt_run(id, *report)),
+                None => adoption
+                    .stops
+                    .extend(self.adopt_run(id, *report, is_latest)),
                 Some(_) => {
-                    self.adopt_ended_run(id, *report);
-                    let action = self.run_ended(id, *report);
+                    let action = self.run_ended(id, *report, is_latest);
                     adoption.ends.push((*report, action));
                 }
             }
@@ -82,15 +84,16 @@
         }
         self.awaiting_inventory.remove(&id);
         self.end_takeover_if_done();
+        self.decide_deferred(&mut adoption.ends);
         self.placement_due = true;
         Some(adoption)
     }
 
     /// Adopts an active run, or returns an order to stop it if it is not expected. The run occupies
     /// capacity in both cases.
-    fn adopt_run(&mut self, id: AgentId, report: RunReport) -> Option<StopOrder> {
+    fn adopt_run(&mut self, id: AgentId, report: RunReport, is_latest: bool) -> Option<StopOrder> {
         let (task, number) = (report.task, report.run);
-        let wanted = self.expects_run(id, report);
+        let wanted = self.run_standing(id, &report) != RunStanding::Outdated;
         let now = self.now;
         let spec = self.jobs.get(&task.job).and_then(|job| job.step(task));
         let needs = spec.map(|step| step.spec.needs);
@@ -114,40 +117,10 @@
         if stopping {
             return Some(StopOrder { task, run: number });
         }
-        let job = self.jobs.get_mut(&task.job)?;
-        job.started = true;
-        job.set_state(task, TaskState::Running(id, number));
-        if let Some(task) = job.task_mut(task) {
-            task.last_run = task.last_run.max(number);
-        }
+        self.adopt_latest(id, &report, is_latest);
         None
     }
 
-    /// Marks the task of a run that has ended unnoticed as running, so that its end is processed.
-    fn adopt_ended_run(&mut self, id: AgentId, report: RunReport) {
-        if !self.expects_run(id, report) {
-            return;
-        }
-        if let Some(job) = self.jobs.get_mut(&report.task.job) {
-            job.started = true;
-            job.set_state(report.task, TaskState::Running(id, report.run));
-            if let Some(task) = job.task_mut(report.task) {
-                task.last_run = task.last_run.max(report.run);
-            }
-        }
-    }
-
-    /// Whether the reported run is the task's current run, or may be as far as is known.
-    fn expects_run(&mut self, id: AgentId, report: RunReport) -> bool {
-        let job = self.jobs.get_mut(&report.task.job);
-        let state = job.and_then(|job| job.task_mut(report.task).map(|task| task.state));
-        match state {
-            Some(TaskState::Unknown) => true,
-            Some(TaskState::Running(agent, run)) => agent == id && run == report.run,
-            Some(TaskState::Waiting | TaskState::Ending(_) | TaskState::Done) | None => false,
-        }
-    }
-
     /// Records that the agent's authority was confirmed now. Returns `false` if the session is
     /// void.
     pub fn confirm(&mut self, now: Instant, id: AgentId, session: SessionId) -> bool {
@@ -268,58 +241,4 @@
             self.run_lost(id, task, run);
         }
     }
-
-    /// Ends the takeover if every agent of earlier leaders has reported or its time is over. Tasks
-    /// in an unknown state then start to wait.
-    pub(super) fn end_takeover_if_done(&mut self) {
-        let over = match self.takeover_until {
-            Some(until) => self.awaiting_inventory.is_empty() || self.now >= until,
-            None => false,
-        };
-        if !over {
-            return;
-        }
-        self.takeover_until = None;
-        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
-        for id in ids {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                release_unknown_tasks(id, job);
-            }
-            self.rerank(id);
-        }
-    }
-
-    /// Takes the agents of earlier leaders that did not register before the takeover ended.
-    ///
-    /// One that has registered gets work once it has sent its inventory, so the next leader must
-    /// know it.
-    pub fn take_missing_agents(&mut self) -> Vec<AgentId> {
-        if self.takeover_until.is_some() {
-            return Vec::new();
-        }
-        let mut missing = std::mem::take(&mut self.awaiting_inventory);
-        let agents = &self.agents;
-        let has_session = |id: &AgentId| agents.get(id).is_some_and(|a| a.session.is_some());
-        missing.retain(|id| !has_session(id));
-        missing.into_iter().collect()
-    }
-}
-
-fn release_unknown_tasks(id: JobId, job: &mut crate::job::Job) {
-    let steps = job.steps.iter().enumerate();
-    let unknown: Vec<TaskKey> = steps
-        .flat_map(|(step, tasks)| {
-            let tasks = tasks.tasks.iter().enumerate();
-            let unknown = tasks.filter(|(_, task)| task.state == TaskState::Unknown);
-            unknown.map(move |(index, _)| TaskKey {
-                job: id,
-                occurrence: 0,
-                step: u16::try_from(step).unwrap_or(u16::MAX),
-                index: u16::try_from(index).unwrap_or(u16::MAX),
-            })
-        })
-        .collect();
-    for task in unknown {
-        job.set_state(task, TaskState::Waiting);
-    }
 }
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -14,7 +14,7 @@
 pub(crate) enum TaskState {
     /// The task may start as soon as the steps that its own step depends on are done.
     Waiting,
-    /// The task may be running at an agent that has not yet reported to this leader.
+    /// The task may be running, or have ended, at an agent that has not yet reported to this leader.
     Unknown,
     /// This run was ordered at this agent, and may be running there.
     Running(AgentId, RunNumber),
@@ -30,6 +30,13 @@
     pub(crate) state: TaskState,
     /// The highest run number that may have been used for the task.
     pub(crate) last_run: RunNumber,
+    /// The highest run number that agents have reported to this leader while the latest run of the
+    /// task was unknown.
+    pub(crate) reported_run: RunNumber,
+    /// Whether no run is unknown that is later than the one in the state.
+    pub(crate) is_latest_known: bool,
+    /// A run that has succeeded, unless a later one is reported.
+    pub(crate) unproven_success: Option<RunNumber>,
     /// The agent at whose instance the latest of the `instance_failures` happened.
     pub(crate) avoid_agent: Option<AgentId>,
     /// Number of runs that failed or stalled, or whose start the instance refused as unhealthy or
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -96,6 +96,16 @@
     pub instance: Option<InstanceReport>,
     /// Active runs, and ended runs whose end has not been confirmed.
     pub runs: Vec<RunReport>,
+    /// Those of the runs that are certain to be the latest ones of their tasks: no leader can have
+    /// started the task again, because none can have taken the run for lost or been told of its end.
+    pub latest_runs: Vec<(TaskKey, RunNumber)>,
+}
+
+impl Inventory {
+    /// Whether the reported run is certain to be the latest one of its task.
+    pub fn proves_latest(&self, report: &RunReport) -> bool {
+        self.latest_runs.contains(&(report.task, report.run))
+    }
 }
 
 /// An order to start a run.
@@ -262,4 +272,7 @@
     Record(TaskEnd),
     /// Confirm the end at once.
     Confirm,
+    /// Don't confirm the end yet: a later run of the task may exist. The agent must report the end
+    /// again.
+    Defer,
 }
--- a/crates/hemlock_dispatch/tests/evacuation.rs
+++ b/crates/hemlock_dispatch/tests/evacuation.rs
@@ -238,6 +238,7 @@
     let inventory = Inventory {
         instance: Some(fixture::instance(0)),
         runs: Vec::new(),
+        ..Inventory::default()
     };
     dispatcher.adopt(now, AgentId(0), session, &inventory);
     dispatcher.load_reported(now, AgentId(0), session, load);
--- a/crates/hemlock_dispatch/tests/placement_cost.rs
+++ b/crates/hemlock_dispatch/tests/placement_cost.rs
@@ -36,6 +36,7 @@
                 let inventory = Inventory {
                     instance: Some(instance),
                     runs: Vec::new(),
+                    ..Inventory::default()
                 };
                 dispatcher.adopt(now, AgentId(agent), session, &inventory);
                 session
--- a/crates/hemlock_dispatch/tests/shared.rs
+++ b/crates/hemlock_dispatch/tests/shared.rs
@@ -31,6 +31,7 @@
             let inventory = Inventory {
                 instance: Some(fixture::instance(agent)),
                 runs: Vec::new(),
+                ..Inventory::default()
             };
             dispatcher.adopt(now, AgentId(agent), session, &inventory);
             sessions.push(session);
@@ -97,7 +98,7 @@
         let action = self
             .dispatcher
             .report_end(self.now, AgentId(agent), session, report);
-        if let EndAction::Record(end) = action {
+        if let Some(EndAction::Record(end)) = action {
             let (task, run) = (report.task, report.run);
             self.store
                 .apply(&Batch::new(0, vec![Command::End(task, run, end)]));
@@ -439,6 +440,7 @@
     let inventory = Inventory {
         instance: Some(fixture::instance(0)),
         runs: Vec::new(),
+        ..Inventory::default()
     };
     gateway
         .dispatcher
--- a/crates/hemlock_dispatch/tests/uneven.rs
+++ b/crates/hemlock_dispatch/tests/uneven.rs
@@ -36,6 +36,7 @@
             let inventory = Inventory {
                 instance: Some(fixture::instance(agent)),
                 runs: Vec::new(),
+                ..Inventory::default()
             };
             dispatcher.adopt(now, AgentId(agent), session, &inventory);
             session
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -550,6 +550,11 @@
             self.pending_commands
                 .push((Command::Delist(agent), CommandWaiter::Nobody));
         }
+        for (task, run) in dispatcher.take_proven_successes() {
+            info!(event = "success-proven", task = %task, run = run.0);
+            let command = Command::End(task, run, TaskEnd::Done);
+            self.pending_commands.push((command, CommandWaiter::Nobody));
+        }
         let orders = dispatcher.poll(self.now);
         log_confinement_changes(dispatcher.take_confinement_changes());
         for order in orders {
--- a/crates/hemlock_nodes/src/coordinator/requests.rs
+++ b/crates/hemlock_nodes/src/coordinator/requests.rs
@@ -221,9 +221,12 @@
             instance = inventory.instance.as_ref().map(|i| i.id.to_string()),
             runs = inventory.runs.len(),
             unwanted = adoption.stops.len(),
+            latest = inventory.latest_runs.len(),
+            deferred = deferred_ends(&adoption.ends).len(),
         );
         let adopted = Reply::Adopted {
             stops: adoption.stops,
+            deferred: deferred_ends(&adoption.ends),
             // The answer isn't a confirmed read, and only the lease excludes another leader.
             evacuations: self
                 .has_leader_lease()
@@ -263,11 +266,21 @@
         }
         let mut ends = Vec::new();
         for ended in &report.ended {
-            let action = dispatcher.report_end(now, agent, session, *ended);
-            ends.push((*ended, action));
+            match dispatcher.report_end(now, agent, session, *ended) {
+                Some(action) => ends.push((*ended, action)),
+                None => {
+                    reply(answer, Reply::VoidSession);
+                    return;
+                }
+            }
         }
         self.handle_refused_starts(agent, session, &report.refused);
-        self.record_ends(&ends, answer, Reply::Done);
+        let deferred = deferred_ends(&ends);
+        let complete = match deferred.is_empty() {
+            true => Reply::Done,
+            false => Reply::Deferred(deferred),
+        };
+        self.record_ends(&ends, answer, complete);
     }
 
     /// Proposes the ends that must be recorded, and answers once all of them are committed.
@@ -281,7 +294,7 @@
             .iter()
             .filter_map(|(report, action)| match action {
                 EndAction::Record(end) => Some((*report, *end)),
-                EndAction::Confirm => None,
+                EndAction::Confirm | EndAction::Defer => None,
             })
             .collect();
         let group = AnswerGroup::new(to_record.len(), answer, complete);
@@ -363,6 +376,12 @@
     }
 }
 
+/// The ends that their agent must report again.
+fn deferred_ends(ends: &[(RunReport, EndAction)]) -> Vec<RunReport> {
+    let deferred = ends.iter().filter(|(_, a)| *a == EndAction::Defer);
+    deferred.map(|(report, _)| *report).collect()
+}
+
 /// Handling of a caller's request.
 enum Decision {
     /// The answer is known; it is sent once leadership is confirmed.
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -414,7 +414,9 @@
     ) {
         for ended in &report.ended {
             let action = self.dispatcher.report_end(now, agent, session, *ended);
-            self.handle_end(now, *ended, action);
+            if let Some(action) = action {
+                self.handle_end(now, *ended, action);
+            }
         }
         for start in &report.refused {
             if start.reason != RefusalReason::Withdrawn {
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -244,6 +244,8 @@
     Adopted {
         /// Runs that the runner must stop.
         stops: Vec<StopOrder>,
+        /// Ends that are not recorded yet and must be reported again.
+        deferred: Vec<RunReport>,
         /// The evacuated failure domains, if the sender is sure that it leads.
         evacuations: Option<Evacuations>,
     },
@@ -254,6 +256,9 @@
     },
     /// The session is unknown or has expired.
     VoidSession,
+    /// The request was carried out, except for these ends: they are not recorded yet and must be
+    /// reported again.
+    Deferred(Vec<RunReport>),
     /// The request may or may not have taken effect.
     Undecided,
     /// The answer to an operator's change of the evacuations.
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -12,6 +12,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 
+use hemlock_dispatch::prelude::{RunReport, SessionId};
 use hemlock_jobs::prelude::{AgentId, Evacuations};
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
@@ -31,6 +32,9 @@
 
 /// Longest wait for the leader to record ends, which covers a stalled sync and an election.
 const REPORT_TIMEOUT: DurationMs = DurationMs::new(2_500);
+/// Time after which ends are reported again that the leader has deferred. It defers them until all
+/// runners have reported, which takes about a second after a change of the leader.
+const DEFERRED_REPORT_DELAY: DurationMs = DurationMs::new(100);
 /// Added to the longest lease for calls of an earlier process that were still in transit.
 const LEASE_MARGIN: DurationMs = DurationMs::new(100);
 /// Interval of timer-driven work.
@@ -213,7 +217,7 @@
         let session = self.runs.borrow().session(Owner::Leader);
         if let Some(session) = session.filter(|_| self.leader_adopted.get()) {
             let request = Request::InstanceChanged(self.agent, session, instance, runs_lost);
-            self.send_to_leader(request, Vec::new());
+            self.send_to_leader(request);
         }
     }
 
@@ -228,7 +232,7 @@
         }
         self.note_suspension();
         self.note_load_changed();
-        let mut to_leader = (Report::default(), Vec::new());
+        let mut to_leader = Report::default();
         let mut to_gateways = Vec::new();
         for (owner, outcome) in outcomes {
             match outcome {
@@ -249,31 +253,25 @@
                 }
             }
             match (owner, outcome) {
-                (Owner::Leader, RunOutcome::Ended(ended, number)) => {
-                    to_leader.0.ended.push(ended);
-                    to_leader.1.extend(number);
-                }
-                (Owner::Leader, RunOutcome::Refused(refused)) => {
-                    to_leader.0.refused.push(refused);
-                }
+                (Owner::Leader, RunOutcome::Ended(ended, _)) => to_leader.ended.push(ended),
+                (Owner::Leader, RunOutcome::Refused(refused)) => to_leader.refused.push(refused),
                 (Owner::Gateway(gateway), outcome) => to_gateways.push((gateway, outcome)),
             }
         }
         self.send_outcomes_to_gateways(to_gateways);
-        let (report, numbers) = to_leader;
         let session = self.runs.borrow().session(Owner::Leader);
         match session {
             // Without an adopted session, the next session's inventory contains the report.
-            Some(session) if self.leader_adopted.get() && report != Report::default() => {
-                let request = Request::Report(self.agent, session, report);
-                self.send_to_leader(request, numbers);
+            Some(session) if self.leader_adopted.get() && to_leader != Report::default() => {
+                let request = Request::Report(self.agent, session, to_leader);
+                self.send_to_leader(request);
             }
             Some(_) | None => {}
         }
     }
 
-    /// Sends a request to the leader, and settles the given ends once the leader has confirmed it.
-    fn send_to_leader(self: &Rc<Self>, request: Request, numbers: Vec<u64>) {
+    /// Sends a request to the leader, and settles the ends in it that the leader confirms.
+    fn send_to_leader(self: &Rc<Self>, request: Request) {
         let runner = Rc::clone(self);
         self.tasks.spawn(async move {
             let Some(link) = runner.connector.leader() else {
@@ -281,16 +279,37 @@
             };
             let call = link.call::<_, Reply>(&request);
             let answer = tokio::time::timeout(REPORT_TIMEOUT.as_std(), call).await;
-            match answer {
-                Ok(Ok(Reply::Done)) => {
-                    runner.runs.borrow_mut().settle(numbers);
-                    if let Request::Report(_, _, report) = &request {
-                        runner.runs.borrow_mut().settle_crashes(&report.ended);
-                    }
-                    runner.listing_due.notify_one();
-                }
+            let deferred = match answer {
+                Ok(Ok(Reply::Done)) => Vec::new(),
+                Ok(Ok(Reply::Deferred(deferred))) => deferred,
                 // The next session's inventory contains the request's content.
-                Ok(_) | Err(_) => runner.connector.discard(&link),
+                Ok(_) | Err(_) => return runner.connector.discard(&link),
+            };
+            if let Request::Report(_, session, report) = &request {
+                let confirmed = report.ended.iter().filter(|end| !deferred.contains(end));
+                runner.runs.borrow_mut().settle_reports(confirmed);
+                runner.report_again(*session, deferred);
+            }
+            runner.listing_due.notify_one();
+        });
+    }
+
+    /// Reports ends again that the leader has deferred, unless the session has ended meanwhile.
+    fn report_again(self: &Rc<Self>, session: SessionId, deferred: Vec<RunReport>) {
+        if deferred.is_empty() {
+            return;
+        }
+        let runner = Rc::clone(self);
+        self.tasks.spawn(async move {
+            tokio::time::sleep(DEFERRED_REPORT_DELAY.as_std()).await;
+            let is_current = runner.runs.borrow().session(Owner::Leader) == Some(session);
+            // A later session's inventory contains the ends.
+            if is_current && runner.leader_adopted.get() {
+                let report = Report {
+                    ended: deferred,
+                    refused: Vec::new(),
+                };
+                runner.send_to_leader(Request::Report(runner.agent, session, report));
             }
         });
     }
--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -61,7 +61,12 @@
         let adopt = Request::Adopt(self.agent, session, inventory.clone());
         let answer = link.call::<_, Reply>(&adopt);
         let answer = tokio::time::timeout(REGISTER_TIMEOUT.as_std(), answer).await;
-        let Ok(Ok(Reply::Adopted { stops, evacuations })) = answer else {
+        let Ok(Ok(Reply::Adopted {
+            stops,
+            deferred,
+            evacuations,
+        })) = answer
+        else {
             return None;
         };
         if let Some(evacuations) = evacuations {
@@ -71,15 +76,17 @@
             event = "session",
             session = session.0,
             runs,
-            unwanted = stops.len()
+            unwanted = stops.len(),
+            deferred = deferred.len()
         );
         let now = self.clock.now();
         let calls = self
             .runs
             .borrow_mut()
-            .leader_adopted(now, &inventory, &stops);
+            .leader_adopted(now, &inventory, &stops, &deferred);
         self.make_calls(calls);
         self.leader_adopted.set(true);
+        self.report_again(session, deferred);
         let same = self.runs.borrow().instance() == inventory.instance.as_ref();
         if !same {
             self.report_instance_change(InstanceChange::Updated);
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -154,6 +154,8 @@
     pub(crate) owner: Option<Owner>,
     /// Whether the end is recorded or needs no record.
     pub(crate) settled: bool,
+    /// Whether a leader may have been told of the end.
+    pub(crate) reported: bool,
     /// Whether the lease has lapsed since the end was listed. The leader may then start the task
     /// elsewhere, so the end is no longer a reason to withhold the lease's renewal.
     pub(crate) lease_lapsed: bool,
@@ -177,6 +179,8 @@
     /// Whether the instance has accepted the fencing token.
     fence_accepted: bool,
     owners: BTreeMap<Owner, OwnerState>,
+    /// Sending time of the last request of this process that a leader has confirmed.
+    leader_confirmed_at: Option<Instant>,
     shares: Shares,
     instance: Option<InstanceReport>,
     /// Failure domains in which nothing is started.
@@ -235,6 +239,7 @@
             fence,
             fence_accepted: false,
             owners: BTreeMap::new(),
+            leader_confirmed_at: None,
             shares: Shares::default(),
             instance: None,
             evacuations: Evacuations::default(),
@@ -434,7 +439,18 @@
 
     /// Removes and returns the outcomes that owners must be told.
     pub fn take_outbox(&mut self) -> Vec<(Owner, RunOutcome)> {
-        std::mem::take(&mut self.outbox)
+        let outcomes = std::mem::take(&mut self.outbox);
+        for (owner, outcome) in &outcomes {
+            match outcome {
+                RunOutcome::Ended(report, number) if *owner == Owner::Leader => {
+                    let ended = number.and_then(|number| self.ends.get_mut(&number));
+                    ended.into_iter().for_each(|ended| ended.reported = true);
+                    self.crashes.note_reported(report);
+                }
+                RunOutcome::Ended(..) | RunOutcome::Refused(_) => {}
+            }
+        }
+        outcomes
     }
 
     /// Like [`Runs::take_outbox`], for the gateways only.
@@ -442,7 +458,7 @@
     /// What happens after the leader's inventory was taken and before the leader has adopted it is
     /// in neither that inventory nor the next one, so it waits for the adoption.
     pub fn take_gateway_outbox(&mut self) -> Vec<(Owner, RunOutcome)> {
-        let outcomes = self.take_outbox().into_iter();
+        let outcomes = std::mem::take(&mut self.outbox).into_iter();
         let (to_leader, to_gateways) = outcomes.partition(|(owner, _)| *owner == Owner::Leader);
         self.outbox = to_leader;
         to_gateways
--- a/crates/hemlock_runs/src/runs/crashes.rs
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashReports {
     /// Reports of runs whose ends must be recorded, oldest first, until the leader has done so.
-    to_record: VecDeque<RunReport>,
+    to_record: VecDeque<CrashReport>,
     /// Runs that ended when the instance had been silent for too long. A restart of the instance
     /// shows that it crashed.
     silent: Vec<(Option<Owner>, RunReport)>,
@@ -27,20 +27,48 @@
     suspects: Vec<CrashSuspect>,
 }
 
+/// The report of a run that its instance's crash has ended.
+#[derive(Clone, Copy, Debug)]
+struct CrashReport {
+    report: RunReport,
+    /// Whether the run was the leader's. The owner of a run of an earlier process is unknown.
+    is_of_leader: bool,
+    /// Whether a leader may have been told of the crash.
+    reported: bool,
+}
+
 impl CrashReports {
-    fn keep(&mut self, report: RunReport) {
+    fn keep(&mut self, report: CrashReport) {
         if self.to_record.len() >= MAX_CRASH_REPORTS {
             self.to_record.pop_front();
         }
         self.to_record.push_back(report);
     }
 
-    pub(super) fn to_record(&self) -> impl Iterator<Item = RunReport> + '_ {
-        self.to_record.iter().copied()
+    /// All reports, of which the leader is told now.
+    pub(super) fn report_all(&mut self) -> impl Iterator<Item = RunReport> + '_ {
+        self.to_record.iter_mut().map(|kept| {
+            kept.reported = true;
+            kept.report
+        })
+    }
+
+    /// Notes that the leader is told of a crash.
+    pub(super) fn note_reported(&mut self, report: &RunReport) {
+        let kept = self.to_record.iter_mut();
+        kept.filter(|kept| kept.report == *report)
+            .for_each(|kept| kept.reported = true);
+    }
+
+    /// Runs of the leader whose crash no leader has been told of.
+    pub(super) fn unreported(&self) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
+        let kept = self.to_record.iter();
+        kept.filter(|kept| kept.is_of_leader && !kept.reported)
+            .map(|kept| (kept.report.task, kept.report.run))
     }
 
     pub(super) fn settle(&mut self, report: &RunReport) {
-        self.to_record.retain(|kept| kept != report);
+        self.to_record.retain(|kept| kept.report != *report);
     }
 }
 
@@ -129,7 +157,11 @@
         let is_recorded = report.run.is_recorded();
         let crashed = matches!(report.end, Some(RunEnd::Crashed(_)));
         if crashed && is_recorded {
-            self.crashes.keep(report);
+            self.crashes.keep(CrashReport {
+                report,
+                is_of_leader: owner == Some(Owner::Leader),
+                reported: false,
+            });
         }
         // Only the leader records ends, also those of runs whose owner is unknown.
         let recipient = owner.or((crashed && is_recorded).then_some(Owner::Leader));
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -96,6 +96,7 @@
                 report,
                 owner,
                 settled,
+                reported: false,
                 lease_lapsed: false,
             };
             self.ends.insert(ended.number, numbered);
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -74,6 +74,7 @@
         Inventory {
             instance: self.instance().cloned(),
             runs,
+            latest_runs: Vec::new(),
         }
     }
 
@@ -121,7 +122,16 @@
     /// Begins a session with the leader. Returns all runs and ends that may belong to it: its own,
     /// and those of unknown owners whose numbers show that they need a record.
     pub fn attach_leader(&mut self, now: Instant, session: SessionId) -> Inventory {
+        let is_continuous = self.is_continuous(now);
         let mut inventory = self.attach(now, Owner::Leader, session, &[]);
+        if is_continuous {
+            let active = inventory
+                .runs
+                .iter()
+                .map(|report| (report.task, report.run));
+            inventory.latest_runs.extend(active);
+            inventory.latest_runs.extend(self.proven_ends());
+        }
         let unknown = self.table.iter();
         let unknown =
             unknown.filter(|(_, tracked)| tracked.owner.is_none() && tracked.run.is_recorded());
@@ -133,21 +143,45 @@
                 end: None,
                 took_ms: 0,
             }));
-        let ends = self.ends.values();
-        let ends = ends.filter(|ended| matches!(ended.owner, None | Some(Owner::Leader)));
-        inventory.runs.extend(ends.map(|ended| ended.report));
-        inventory.runs.extend(self.crashes.to_record());
+        let ends = self.ends.values_mut();
+        for ended in ends.filter(|ended| matches!(ended.owner, None | Some(Owner::Leader))) {
+            ended.reported = true;
+            inventory.runs.push(ended.report);
+        }
+        inventory.runs.extend(self.crashes.report_all());
         self.outbox.retain(|(owner, _)| *owner != Owner::Leader);
         inventory
     }
 
-    /// Handles the leader's answer to an inventory: settles the ends in it, stops the leader's runs
-    /// in `stops`, and assigns the runs that it keeps to it.
+    /// Whether a leader has confirmed this process's authority so recently that no leader can have
+    /// taken its runs for lost since.
+    fn is_continuous(&self, now: Instant) -> bool {
+        let authority = DurationMs::new(self.settings.leader_authority_ms);
+        let longest_lease = self.longest_lease();
+        self.leader_confirmed_at
+            .is_some_and(|confirmed_at| now < confirmed_at + authority + longest_lease)
+    }
+
+    /// The ended runs of the leader after which no leader can have started their tasks again: a
+    /// success is final, and of other ends none has been told.
+    fn proven_ends(&self) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
+        let ends = self.ends.values();
+        let ends = ends.filter(|ended| {
+            ended.owner == Some(Owner::Leader)
+                && (ended.report.end == Some(RunEnd::Done) || !ended.reported)
+        });
+        let ends = ends.map(|ended| (ended.report.task, ended.report.run));
+        ends.chain(self.crashes.unreported())
+    }
+
+    /// Handles the leader's answer to an inventory: settles the ends in it but the deferred ones,
+    /// stops the leader's runs in `stops`, and assigns the runs that it keeps to it.
     pub fn leader_adopted(
         &mut self,
         now: Instant,
         inventory: &Inventory,
         stops: &[StopOrder],
+        deferred: &[RunReport],
     ) -> Vec<DriverCall> {
         let mut calls = Vec::new();
         for report in &inventory.runs {
@@ -156,6 +190,7 @@
                 .iter()
                 .any(|stop| stop.task == task && stop.run == run);
             match report.end {
+                Some(_) if deferred.contains(report) => {}
                 Some(_) => self.settle_report(report),
                 None if unwanted => {
                     let owned = self.table.get(&task).and_then(|tracked| tracked.owner);
@@ -182,21 +217,11 @@
         self.advance_settled();
     }
 
-    /// Removes crashes that the leader has recorded.
-    pub fn settle_crashes(&mut self, reports: &[RunReport]) {
+    /// Marks ends as settled that the leader has confirmed.
+    pub fn settle_reports<'a>(&mut self, reports: impl IntoIterator<Item = &'a RunReport>) {
         reports
-            .iter()
-            .for_each(|report| self.crashes.settle(report));
-    }
-
-    /// Marks ends as settled: they are recorded or need no record.
-    pub fn settle(&mut self, numbers: impl IntoIterator<Item = u64>) {
-        for number in numbers {
-            if let Some(ended) = self.ends.get_mut(&number) {
-                ended.settled = true;
-            }
-        }
-        self.advance_settled();
+            .into_iter()
+            .for_each(|report| self.settle_report(report));
     }
 
     pub(super) fn advance_settled(&mut self) {
@@ -215,6 +240,9 @@
         if let Some(state) = self.owners.get_mut(&owner) {
             state.last_heard = state.last_heard.max(heard_at);
         }
+        if owner == Owner::Leader {
+            self.leader_confirmed_at = self.leader_confirmed_at.max(Some(heard_at));
+        }
         true
     }
 
--- a/crates/hemlock_runs/tests/crashes.rs
+++ b/crates/hemlock_runs/tests/crashes.rs
@@ -103,7 +103,9 @@
     let inventory = harness.runs.attach_leader(harness.now, SessionId(2));
     let ends: Vec<Option<RunEnd>> = inventory.runs.iter().map(|report| report.end).collect();
     assert_eq!(ends, vec![Some(RunEnd::Crashed(Suspicion::Strong))]);
-    harness.runs.leader_adopted(harness.now, &inventory, &[]);
+    harness
+        .runs
+        .leader_adopted(harness.now, &inventory, &[], &[]);
     let inventory = harness.runs.attach_leader(harness.now, SessionId(3));
     assert_eq!(inventory.runs, vec![]);
 }
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -17,6 +17,15 @@
     }
 }
 
+/// Settles the ends among the outcomes.
+fn settle(harness: &mut Harness, outcomes: &[(Owner, RunOutcome)]) {
+    let reports = outcomes.iter().filter_map(|(_, outcome)| match outcome {
+        RunOutcome::Ended(report, _) => Some(report),
+        RunOutcome::Refused(_) => None,
+    });
+    harness.runs.settle_reports(reports);
+}
+
 fn ended(outcomes: &[(Owner, RunOutcome)]) -> Vec<(TaskKey, Option<RunEnd>)> {
     let end = |(_, outcome): &(Owner, RunOutcome)| match outcome {
         RunOutcome::Ended(report, _) => Some((report.task, report.end)),
@@ -243,7 +252,7 @@
         harness.runs.take_outbox().is_empty(),
         "an end is reported once per session"
     );
-    harness.runs.settle([1]);
+    settle(&mut harness, &outcomes);
     harness.list();
     assert!(harness.model.unsettled().is_empty());
 }
@@ -305,16 +314,16 @@
     };
     let calls = harness
         .runs
-        .leader_adopted(harness.now, &inventory, &[unwanted]);
+        .leader_adopted(harness.now, &inventory, &[unwanted], &[]);
     harness.execute(calls);
     harness.model.end(task(1), RunEnd::Done);
     harness.list();
     let outcomes = harness.runs.take_outbox();
-    let [(Owner::Leader, RunOutcome::Ended(report, Some(number)))] = outcomes[..] else {
+    let [(Owner::Leader, RunOutcome::Ended(report, Some(_)))] = outcomes[..] else {
         panic!("the leader must be told of the end and its number: {outcomes:?}");
     };
     assert_eq!((report.task, report.end), (task(1), Some(RunEnd::Done)));
-    harness.runs.settle([number]);
+    settle(&mut harness, &outcomes);
     harness.list();
     assert!(harness.model.unsettled().is_empty());
 }
@@ -353,7 +362,7 @@
         harness.model.end(task(job), RunEnd::Done);
         harness.list();
     }
-    harness.runs.take_outbox();
+    let outcomes = harness.runs.take_outbox();
     let last = ENDS_PER_LISTING as u64 + 1;
     harness.start(Owner::Leader, 1, last, 6_000);
     harness.model.end(task(last), RunEnd::Done);
@@ -363,7 +372,7 @@
         vec![],
         "an end that is not listed must not be reported"
     );
-    harness.runs.settle(1..last);
+    settle(&mut harness, &outcomes);
     harness.run_for_ms(100);
     let outcomes = harness.runs.take_outbox();
     assert_eq!(ended(&outcomes), vec![(task(last), Some(RunEnd::Done))]);
--- a/crates/hemlock_runs/tests/simulation/links.rs
+++ b/crates/hemlock_runs/tests/simulation/links.rs
@@ -162,7 +162,9 @@
                         RunOutcome::Ended(report, _) => {
                             let verdict =
                                 gateway.dispatcher.report_end(now, agent, session, report);
-                            self.handle_end(key.0, report, verdict);
+                            if let Some(verdict) = verdict {
+                                self.handle_end(key.0, report, verdict);
+                            }
                         }
                         RunOutcome::Refused(start) => gateway.dispatcher.start_refused(
                             now,
