Count a runner's authority from confirmations, not from registrations

A runner whose registrations were answered and whose inventories were lost kept its runs alive with each attempt, while the leader counted from the last confirmation and started their tasks elsewhere. A new process renewed the lease of the instance while successes waited for a record, before any leader had confirmed it.

Cause: Runs::attach set the time of the last contact to that of the registration.

Change: a registration keeps the earlier time; a confirmed ping extends it, and so does the answer to an inventory that was given under the leader's lease. Without a confirmation, ends that wait for a record keep the lease from being renewed.

The test ends_that_no_leader_can_record_block_renewals_until_the_lease_has_lapsed took the registration for the beginning of the authority; it now confirms the session at the same time and asks for the same.

--- a/crates/hemlock_nodes/src/runner/session.rs
+++ b/crates/hemlock_nodes/src/runner/session.rs
@@ -56,6 +56,9 @@
         self.wait_until_runs_known().await;
         self.restore_instance(instance);
         let sent_at = self.clock.now();
+        // Authority of an earlier session that has run out isn't carried over to this one.
+        let calls = self.runs.borrow_mut().tick(sent_at);
+        self.make_calls(calls);
         let inventory = self.runs.borrow_mut().attach_leader(sent_at, session);
         let runs = inventory.runs.len();
         let adopt = Request::Adopt(self.agent, session, inventory.clone());
@@ -69,7 +72,13 @@
         else {
             return None;
         };
+        // The leader tells the evacuations only while no other one can lead, so the answer confirms
+        // the runner's authority as well.
         if let Some(evacuations) = evacuations {
+            let leader = Owner::Leader;
+            if !self.runs.borrow_mut().owner_heard(leader, session, sent_at) {
+                return None;
+            }
             self.note_evacuations(&evacuations);
         }
         info!(
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -139,7 +139,7 @@
     /// Current session; orders from any other session are refused.
     pub(crate) session: SessionId,
     /// Time at which the owner was last heard from; for the leader, the sending time of the last
-    /// request that it confirmed.
+    /// request that it confirmed, or of the first registration if it has confirmed none.
     pub(crate) last_heard: Instant,
     /// Time at which the session's connection closed; `None` while it is open.
     pub(crate) closed_at: Option<Instant>,
@@ -357,8 +357,8 @@
     /// can record them.
     fn holds_ends_without_leader(&self, now: Instant) -> bool {
         let authority = DurationMs::new(self.settings.leader_authority_ms);
-        let leader = self.owners.get(&Owner::Leader);
-        let has_authority = leader.is_some_and(|leader| now <= leader.last_heard + authority);
+        let confirmed_at = self.leader_confirmed_at;
+        let has_authority = confirmed_at.is_some_and(|at| now <= at + authority);
         let is_pending = |end: &NumberedEnd| !end.settled && !end.lease_lapsed;
         !has_authority && self.ends.values().any(is_pending)
     }
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -45,14 +45,19 @@
             self.runs_known,
             "claims can only be answered once the runs at the instance are known"
         );
-        let last_order = 0;
+        // A registration isn't confirmed by the leader, which may count the time from an earlier
+        // request.
+        let last_heard = match (owner, self.owners.get(&owner)) {
+            (Owner::Leader, Some(earlier)) => earlier.last_heard,
+            _ => now,
+        };
         self.owners.insert(
             owner,
             OwnerState {
                 session,
-                last_heard: now,
+                last_heard,
                 closed_at: None,
-                last_order,
+                last_order: 0,
             },
         );
         // The queued starts were ordered in an earlier session.
--- a/crates/hemlock_runs/tests/leader_changes.rs
+++ b/crates/hemlock_runs/tests/leader_changes.rs
@@ -117,3 +117,35 @@
     harness.list();
     assert!(harness.model.unsettled().is_empty());
 }
+
+/// Guards against runs that go on after a leader has started their tasks elsewhere: a runner whose
+/// registrations were answered, but not its inventories, kept its runs alive with each attempt.
+#[test]
+fn registrations_alone_do_not_extend_the_authority() {
+    let mut harness = running();
+    let expiry = harness.now + DispatchSettings::default().expiry();
+    let mut session = 1;
+    while harness.now < expiry {
+        session += 1;
+        harness.runs.attach_leader(harness.now, SessionId(session));
+        harness.run_for_ms(500);
+    }
+    assert!(harness.model.running().is_empty());
+}
+
+/// Guards against an end that counts although a leader has started the task elsewhere: a new process
+/// of the runner renewed the lease before any leader had confirmed that it may.
+#[test]
+fn a_new_process_with_ends_renews_no_lease_before_a_leader_has_confirmed_it() {
+    let mut before = running();
+    before.model.end(task(1), RunEnd::Done);
+    let mut harness = Harness::just_started(before.model, FENCE + 1);
+    harness.heartbeat(false);
+    harness.list();
+    harness.runs.attach_leader(harness.now, SessionId(1));
+    assert_eq!(harness.runs.renew_lease(harness.now), None);
+    harness
+        .runs
+        .owner_heard(Owner::Leader, SessionId(1), harness.now);
+    assert!(harness.runs.renew_lease(harness.now).is_some());
+}
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -261,6 +261,9 @@
 fn ends_that_no_leader_can_record_block_renewals_until_the_lease_has_lapsed() {
     let mut harness = Harness::new();
     harness.attach(Owner::Leader, 1, &[]);
+    harness
+        .runs
+        .owner_heard(Owner::Leader, SessionId(1), harness.now);
     harness.start(Owner::Leader, 1, 1, 6_000);
     harness.model.end(task(1), RunEnd::Done);
     harness.run_for_ms(1_900);
