Record a late success of a task that has not started again

A run that was taken for lost and had succeeded was confirmed without a record while its task waited for capacity, and the task ran again.

Cause: only the end of the current run had an effect, and a requeued task has none.

Change: the success of the last run that was ordered is recorded as long as the task waits.

Evidence: hemlock_dispatch tests/dispatching.rs, a_late_success_is_recorded_if_the_task_has_not_started_again, failed before.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -66,6 +66,12 @@
             (Some(TaskState::Ending(run)), RunEnd::Failed) if run == number => {
                 return EndAction::Record(TaskEnd::Failed);
             }
+            // The run was taken for lost, and the task has not been started again.
+            (Some(TaskState::Waiting), RunEnd::Done) if self.last_run(task) == Some(number) => {
+                let action = self.begin_recording(task, number, TaskEnd::Done);
+                self.rerank(task.job);
+                return action;
+            }
             // A crash counts whenever it is reported, also after the task was requeued.
             (Some(TaskState::Done) | None, _) => return EndAction::Confirm,
             (Some(_), RunEnd::Crashed(suspicion)) => {
@@ -110,6 +116,11 @@
         job.task_mut(task).map(|task| task.state)
     }
 
+    fn last_run(&self, task: TaskKey) -> Option<RunNumber> {
+        let job = self.jobs.get(&task.job)?;
+        job.task(task).map(|task| task.last_run)
+    }
+
     fn begin_recording(&mut self, task: TaskKey, run: RunNumber, end: TaskEnd) -> EndAction {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.set_state(task, TaskState::Ending(run));
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -289,6 +289,30 @@
     );
 }
 
+/// Guards against a task that runs again although its only run has succeeded, because the run was
+/// taken for lost before its agent could report the success.
+#[test]
+fn a_late_success_is_recorded_if_the_task_has_not_started_again() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, job(1, 6_000, 900));
+    assert_eq!(fixture.poll().len(), 1);
+    let expiry = DispatchSettings::default().expiry();
+    fixture.advance_others_ms(0, expiry.as_ms());
+    assert_eq!(fixture.poll().len(), 0, "there is no other instance");
+    let done = RunReport {
+        task: task(1, 0),
+        run: RunNumber(1),
+        end: Some(RunEnd::Done),
+        took_ms: 900,
+    };
+    let adoption = fixture.register(0, vec![done]);
+    assert_eq!(
+        adoption.ends,
+        vec![(done, EndAction::Record(TaskEnd::Done))]
+    );
+    assert_eq!(fixture.poll().len(), 0);
+}
+
 #[test]
 fn a_repeated_end_is_recorded_again_until_it_is_durable() {
     let mut fixture = Fixture::new(1);
