--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -72,7 +72,8 @@
 
     /// Returns the next listing call once it is due.
     async fn next_listing(&self) -> ListCall {
-        if self.runs.borrow().has_unsettled_ends() {
+        // The instance repeats entries that can't be used, like unsettled ends.
+        if self.runs.borrow().has_unsettled_ends() || self.unusable_entries.get() > 0 {
             self.delay_listing(UNSETTLED_DELAY).await;
         }
         let mut runs = self.runs.borrow_mut();
@@ -98,6 +99,7 @@
     }
 
     fn handle_listing(self: &Rc<Self>, now: Instant, sent_at: Instant, listing: &Listing) {
+        self.note_unusable_entries(listing);
         let (change, calls) = self.runs.borrow_mut().handle_listing(now, sent_at, listing);
         if change == InstanceChange::RunsLost {
             let (born, runs) = (listing.born_ms, listing.running.len());
@@ -109,6 +111,16 @@
         self.report_outcomes();
     }
 
+    /// Logs a changed number of entries that can't be used. The instance may list them for good.
+    fn note_unusable_entries(&self, listing: &Listing) {
+        let unusable = listing.unusable;
+        if self.unusable_entries.replace(unusable) != unusable {
+            let unclear = listing.unclear.len();
+            warn!(event = "listing-entries-unusable", unusable, unclear);
+            metrics::gauge!("hemlock_runner_unusable_entries").set(unusable as f64);
+        }
+    }
+
     fn handle_instance_lost(self: &Rc<Self>, asked_at: Instant, cause: &'static str) {
         let now = self.clock.now();
         let change = self.runs.borrow_mut().instance_lost(now, asked_at);
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -70,6 +70,8 @@
     leader_adopted: Cell<bool>,
     /// Whether the instance was suspended when this was last logged.
     suspended: Cell<bool>,
+    /// Number of entries of the last listing that can't be used.
+    unusable_entries: Cell<usize>,
     /// Number of heartbeats that wait for an answer of the instance that they name.
     unconfirmed_heartbeats: Cell<usize>,
     clock: SystemClock,
@@ -99,6 +101,7 @@
                 gateways: Gateways::default(),
                 leader_adopted: Cell::new(false),
                 suspended: Cell::new(false),
+                unusable_entries: Cell::new(0),
                 unconfirmed_heartbeats: Cell::new(0),
                 clock,
                 listing_due: Notify::new(),
--- a/crates/hemlock_runs/src/driver.rs
+++ b/crates/hemlock_runs/src/driver.rs
@@ -110,6 +110,10 @@
     pub ended: Vec<ListedEnd>,
     /// Whether `ended` is complete: an instance limits the number of ends in one listing.
     pub ended_complete: bool,
+    /// Tasks that are named by an entry whose run can't be read. Whether they run is unknown.
+    pub unclear: Vec<TaskKey>,
+    /// Number of entries that were left out because they can't be used.
+    pub unusable: usize,
 }
 
 /// Reason why a [`ListCall`] returned no listing.
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -336,8 +336,8 @@
         self.settled
     }
 
-    /// Whether an end is not settled. The instance would repeat it in the next listing without
-    /// waiting for another end.
+    /// Whether the instance has not been told to forget an end. It would repeat it in the next
+    /// listing without waiting for another end.
     pub fn has_unsettled_ends(&self) -> bool {
         !self.ends.is_empty()
     }
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -161,6 +161,7 @@
             .table
             .iter()
             .filter(|(task, tracked)| !listed.contains(&(**task, tracked.run)))
+            .filter(|(task, _)| !listing.unclear.contains(task))
             .filter(|(_, tracked)| has_ended(tracked.phase))
             .map(|(task, tracked)| (*task, *tracked))
             .collect();
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -11,6 +11,9 @@
 /// Multiple of its expected duration after which a run at a suspected instance counts as stalled.
 /// Declared durations are off by less.
 const SUSPECT_OVERDUE_FACTOR: u64 = 2;
+/// Largest difference of the numbers of two ends that follow each other. An instance lists all ends
+/// that it isn't told to forget, so the difference is small unless this process is new.
+const MAX_END_NUMBER_GAP: u64 = 1_000;
 /// Time added to it for the delays with which starts and ends are noticed, in milliseconds.
 const SUSPECT_OVERDUE_MS: u64 = 50;
 
@@ -229,8 +232,23 @@
             .for_each(|report| self.settle_report(report));
     }
 
+    /// Discards the settled ends up to the first one that isn't settled.
+    ///
+    /// The instance numbers ends in sequence and forgets all up to the number that it is told. A
+    /// number far above the others may be of another writer, so it isn't told until a higher one is
+    /// listed: the ends in between would be lost.
     pub(super) fn advance_settled(&mut self) {
-        while let Some((number, true)) = self.ends.first_key_value().map(|(n, e)| (*n, e.settled)) {
+        loop {
+            let mut numbers = self.ends.iter();
+            let Some((number, ended)) = numbers.next() else {
+                return;
+            };
+            let number = *number;
+            let is_next = number <= self.settled.saturating_add(MAX_END_NUMBER_GAP);
+            let is_followed = numbers.next().is_some();
+            if !ended.settled || !(is_next || is_followed) {
+                return;
+            }
             self.ends.pop_first();
             self.settled = self.settled.max(number);
         }
--- /dev/null
+++ b/crates/hemlock_runs/tests/odd_entries.rs
@@ -0,0 +1,93 @@
+//! Entries of other writers in an instance's listings and among its heartbeats.
+
+mod harness;
+
+use harness::{GATEWAY, Harness, task};
+use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
+use hemlock_runs::prelude::*;
+
+/// Lists the instance's runs together with what another writer has added.
+fn list_with(harness: &mut Harness, add: impl FnOnce(&mut Listing)) {
+    let call = harness.list_call();
+    let mut listing = harness.model.list(&call).expect("the token is the highest");
+    add(&mut listing);
+    let (_, calls) = harness
+        .runs
+        .handle_listing(harness.now, harness.now, &listing);
+    harness.execute(calls);
+}
+
+fn ends(harness: &mut Harness) -> Vec<(TaskKey, Option<RunEnd>)> {
+    let outcomes = harness.runs.take_outbox().into_iter();
+    let end = |(_, outcome): (Owner, RunOutcome)| match outcome {
+        RunOutcome::Ended(report, _) => Some((report.task, report.end)),
+        RunOutcome::Refused(_) => None,
+    };
+    outcomes.filter_map(end).collect()
+}
+
+/// An end of a run that this runner knows nothing of.
+fn foreign_end(number: u64) -> ListedEnd {
+    ListedEnd {
+        number,
+        task: task(77),
+        run: RunNumber(2),
+        end: RunEnd::Done,
+    }
+}
+
+/// Guards against ends that are lost because a huge number, listed by another writer, was told to the
+/// instance as the last end that it may forget.
+#[test]
+fn a_huge_number_of_an_end_hides_no_later_end() {
+    for number in [1_000_000, 1 << 52, (1 << 53) - 1] {
+        let mut harness = Harness::new();
+        harness.attach(GATEWAY, 1, &[]);
+        for job in 1..=3 {
+            harness.start(GATEWAY, 1, job, 6_000);
+            harness.model.end(task(job), RunEnd::Done);
+            harness.advance_ms(20);
+            list_with(&mut harness, |listing| {
+                listing.ended.push(foreign_end(number));
+            });
+            assert_eq!(ends(&mut harness), vec![(task(job), Some(RunEnd::Done))]);
+        }
+        harness.list();
+        assert_eq!(harness.runs.settled(), 3);
+        assert!(harness.model.unsettled().is_empty());
+    }
+}
+
+/// Guards against ends that a new process of the runner never lets its instance forget.
+#[test]
+fn a_new_process_settles_high_numbers_once_another_end_follows() {
+    let mut harness = Harness::new();
+    for number in [5_000, 5_001, 9_000] {
+        list_with(&mut harness, |listing| {
+            listing.ended.push(foreign_end(number));
+        });
+    }
+    assert_eq!(harness.runs.settled(), 5_001);
+}
+
+/// Guards against a task that starts again beside its run, because the entry of the run couldn't be
+/// read and counted as missing.
+#[test]
+fn a_run_is_not_lost_while_its_entry_cannot_be_read() {
+    let mut harness = Harness::new();
+    harness.attach(GATEWAY, 1, &[]);
+    harness.start(GATEWAY, 1, 1, 6_000);
+    harness.start(GATEWAY, 1, 2, 6_000);
+    harness.model.end(task(2), RunEnd::Done);
+    harness.advance_ms(50);
+    list_with(&mut harness, |listing| {
+        listing.running.retain(|run| run.task != task(1));
+        listing.unclear.push(task(1));
+    });
+    assert_eq!(ends(&mut harness), vec![(task(2), Some(RunEnd::Done))]);
+    harness.model.end(task(1), RunEnd::Done);
+    harness.advance_ms(50);
+    list_with(&mut harness, |listing| listing.unclear.push(task(1)));
+    assert_eq!(ends(&mut harness), vec![(task(1), Some(RunEnd::Done))]);
+}
--- a/crates/hemlock_standin/src/instance.rs
+++ b/crates/hemlock_standin/src/instance.rs
@@ -211,6 +211,7 @@
                 .collect(),
             ended: self.ends.iter().take(ENDS_PER_LISTING).copied().collect(),
             ended_complete: self.ends.len() <= ENDS_PER_LISTING,
+            ..Listing::default()
         })
     }
 }
