Listen to heartbeats again after one with a huge sequence number

One heartbeat with a huge sequence number made all later ones of the instance look late: a drain, a smaller capacity and a longer cold phase were not noticed for as long as the instance lived.

Change: a number far above the others takes effect only if the next heartbeat continues it. Heartbeats that continue the numbers below, at the interval of an instance and with none above, replace a number that was accepted. Late heartbeats arrive together and stay ignored.

--- a/crates/hemlock_runs/src/runs/incarnation.rs
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -5,7 +5,7 @@
 //! runs as ended that continue. Only answers of the instance itself tell of a restart.
 
 use hemlock_dispatch::prelude::{InstanceId, InstanceReport, RefusalReason};
-use hemlock_types::time::Instant;
+use hemlock_types::time::{DurationMs, Instant};
 
 use super::start_limit::ColdPhase;
 use super::{ClockReading, DriverCall, Loss, Runs};
@@ -13,6 +13,12 @@
 use crate::driver::Listing;
 use crate::pace::Pace;
 
+/// Largest difference of the sequence numbers of two heartbeats that follow each other.
+const MAX_SEQUENCE_STEP: u64 = 1_000_000;
+/// Least time between two heartbeats of an instance that aren't late. Instances send one or two in
+/// a second.
+const MIN_HEARTBEAT_INTERVAL: DurationMs = DurationMs::new(300);
+
 /// Periodic status report of an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -67,10 +73,53 @@
     since: Instant,
     /// Highest sequence number of its heartbeats.
     max_sequence: u64,
+    /// Sequence number of the latest heartbeat that was held back because its number is far above
+    /// the others.
+    sequence_ahead: Option<u64>,
+    /// Sequence number and time of a heartbeat that counted as late.
+    sequence_behind: Option<(u64, Instant)>,
     /// The service in its latest heartbeat, if that differs from the one in the heartbeats before.
     other_service: Option<String>,
 }
 
+impl IncarnationState {
+    /// Whether a heartbeat of the present incarnation with this sequence number is newer than the
+    /// ones before.
+    ///
+    /// A single number that is far above the others is of another writer, and must not make those
+    /// that follow look late. If the next heartbeats continue it, it is sound. If they continue the
+    /// numbers below, a higher number that was accepted before wasn't: late heartbeats arrive
+    /// together, and new ones at intervals.
+    fn admits_sequence(&mut self, now: Instant, sequence: u64) -> bool {
+        let is_ahead = sequence > self.max_sequence.saturating_add(MAX_SEQUENCE_STEP);
+        let continues_ahead = self.sequence_ahead.is_some_and(|ahead| sequence > ahead);
+        let behind = self.sequence_behind;
+        let continues_behind = behind.is_some_and(|(behind, received_at)| {
+            sequence > behind && now >= received_at + MIN_HEARTBEAT_INTERVAL
+        });
+        match sequence > self.max_sequence {
+            true if is_ahead && !continues_ahead => {
+                self.sequence_ahead = Some(sequence);
+                false
+            }
+            false if !continues_behind => {
+                if behind.is_none_or(|(behind, _)| sequence <= behind) {
+                    self.sequence_behind = Some((sequence, now));
+                }
+                false
+            }
+            true | false => true,
+        }
+    }
+
+    /// Records the sequence number of a heartbeat that takes effect.
+    fn note_sequence(&mut self, sequence: u64) {
+        self.sequence_ahead = None;
+        self.sequence_behind = None;
+        self.max_sequence = sequence;
+    }
+}
+
 impl Runs {
     /// Handles a heartbeat. Late heartbeats of the present incarnation are ignored.
     pub fn heartbeat_received(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatOutcome {
@@ -110,7 +159,7 @@
     fn note_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> InstanceChange {
         let report = &heartbeat.instance;
         let known = self.instance.as_ref().filter(|known| known.id == report.id);
-        if known.is_some() && heartbeat.sequence <= self.incarnation.max_sequence {
+        if known.is_some() && !self.incarnation.admits_sequence(now, heartbeat.sequence) {
             return InstanceChange::None;
         }
         if known.is_some_and(|known| known.service != report.service)
@@ -122,7 +171,7 @@
             return InstanceChange::None;
         }
         self.incarnation.other_service = None;
-        self.incarnation.max_sequence = heartbeat.sequence;
+        self.incarnation.note_sequence(heartbeat.sequence);
         let changed = self.instance.as_ref() != Some(report);
         self.instance = Some(report.clone());
         self.note_cold_left(now, heartbeat.cold_left_ms);
--- a/crates/hemlock_runs/tests/odd_entries.rs
+++ b/crates/hemlock_runs/tests/odd_entries.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{GATEWAY, Harness, task};
+use harness::{CAPACITY, GATEWAY, Harness, instance, task};
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_runs::prelude::*;
@@ -91,3 +91,77 @@
     list_with(&mut harness, |listing| listing.unclear.push(task(1)));
     assert_eq!(ends(&mut harness), vec![(task(1), Some(RunEnd::Done))]);
 }
+
+/// A heartbeat of the present incarnation that reports this part of the capacity.
+fn heartbeat(sequence: u64, percent: u32) -> Heartbeat {
+    let mut report = instance(1);
+    report.capacity = CAPACITY.percent(percent);
+    Heartbeat {
+        instance: report,
+        sequence,
+        cold_left_ms: 0,
+    }
+}
+
+fn reported_percent(harness: &Harness) -> u64 {
+    let instance = harness.runs.instance().expect("the instance is there");
+    instance.capacity.cpu_milli * 100 / CAPACITY.cpu_milli
+}
+
+/// Guards against heartbeats that look late, because one with a huge sequence number came before.
+#[test]
+fn a_huge_sequence_number_hides_no_later_heartbeat() {
+    for huge in [1 << 32, 1 << 60, u64::MAX] {
+        let mut harness = Harness::new();
+        harness.receive(&heartbeat(huge, 90));
+        assert_eq!(reported_percent(&harness), 100, "it is held back");
+        harness.advance_ms(1_500);
+        harness.receive(&heartbeat(2, 50));
+        assert_eq!(reported_percent(&harness), 50);
+    }
+}
+
+/// Guards against the same if the huge number is in the first heartbeat that a runner gets, or not
+/// so huge.
+#[test]
+fn heartbeats_in_order_replace_one_with_a_higher_number() {
+    for (first, odd) in [(true, u64::MAX), (false, 5_000)] {
+        let mut harness = Harness::just_started(hemlock_standin::InstanceModel::new(1), 100);
+        if !first {
+            harness.receive(&heartbeat(1, 100));
+        }
+        harness.receive(&heartbeat(odd, 90));
+        assert_eq!(reported_percent(&harness), 90);
+        harness.advance_ms(1_500);
+        harness.receive(&heartbeat(2, 50));
+        harness.advance_ms(1_500);
+        harness.receive(&heartbeat(3, 40));
+        assert_eq!(reported_percent(&harness), 40);
+    }
+}
+
+/// Guards against late heartbeats that replace newer ones.
+#[test]
+fn late_heartbeats_that_arrive_together_are_ignored() {
+    let mut harness = Harness::new();
+    harness.receive(&heartbeat(9, 50));
+    for late in [5, 6, 7, 8] {
+        harness.receive(&heartbeat(late, 100));
+        harness.advance_ms(20);
+    }
+    assert_eq!(reported_percent(&harness), 50);
+    harness.receive(&heartbeat(10, 60));
+    harness.advance_ms(1_500);
+    harness.receive(&heartbeat(8, 100));
+    assert_eq!(reported_percent(&harness), 60);
+}
+
+/// Guards against an instance whose numbers have become high, and which is no longer listened to.
+#[test]
+fn sequence_numbers_that_continue_are_accepted_however_high_they_are() {
+    let mut harness = Harness::new();
+    harness.receive(&heartbeat(1 << 40, 50));
+    harness.advance_ms(1_500);
+    harness.receive(&heartbeat((1 << 40) + 1, 60));
+    assert_eq!(reported_percent(&harness), 60);
+}
