Ignore run numbers that no leader has used

A report of a run with a huge number made the true runs of its task look older during a takeover, and a term with more than 500 starts of a task, refused ones included, used numbers of the next leader.

Cause: each term had 1,000 numbers for a task, of which each start takes two, and reported numbers had no upper limit.

Change: each term has 1,000,000 numbers, and a report with a number above those of this term counts for nothing.

Evidence: hemlock_dispatch tests/takeover.rs, a_run_number_that_no_leader_has_used_hides_no_run and a_later_leader_uses_higher_numbers_however_often_starts_were_refused.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -107,7 +107,7 @@
     fn skip_run_numbers(&mut self, task: TaskKey) {
         let job = self.jobs.get_mut(&task.job);
         if let Some(task) = job.and_then(|job| job.task_mut(task)) {
-            task.last_run = RunNumber(task.last_run.0 + SKIPPED_RUN_NUMBERS);
+            task.last_run = RunNumber(task.last_run.0.saturating_add(SKIPPED_RUN_NUMBERS));
         }
     }
 
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -36,8 +36,9 @@
 const DROPPED_RUNS_RETENTION: DurationMs = DurationMs::new(10_000);
 /// Assumed duration of an outage before the first one is over, in milliseconds.
 const INITIAL_OUTAGE_MS: u64 = 1_000;
-/// How many run numbers per task each leader may use, so that no two leaders use the same one.
-const RUNS_PER_GENERATION: u64 = 1_000;
+/// How many run numbers per task each leader may use, so that no two leaders use the same one and
+/// those of a later leader are higher. Refused starts use them up as well.
+const RUNS_PER_GENERATION: u64 = 1_000_000;
 
 /// Stage of an open job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hemlock_dispatch/src/dispatcher/takeover.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/takeover.rs
@@ -9,7 +9,7 @@
 
 use hemlock_jobs::prelude::*;
 
-use super::Dispatcher;
+use super::{Dispatcher, RUNS_PER_GENERATION};
 use crate::job::{Job, Task, TaskState};
 use crate::order::{EndAction, RunEnd, RunReport};
 
@@ -35,6 +35,10 @@
             TaskState::Running(agent, run) if agent == id && run == report.run => {
                 RunStanding::Current
             }
+            // No leader has used such a number, and the true ones would count as older.
+            _ if report.run.0 > self.run_floor.0.saturating_add(RUNS_PER_GENERATION) => {
+                RunStanding::Outdated
+            }
             TaskState::Unknown if report.run >= task.reported_run => RunStanding::LatestReported,
             TaskState::Running(..) if !task.is_latest_known && report.run > task.reported_run => {
                 RunStanding::LatestReported
--- a/crates/hemlock_dispatch/tests/takeover.rs
+++ b/crates/hemlock_dispatch/tests/takeover.rs
@@ -189,3 +189,42 @@
     fixture.end(0, task(1, 0), 1, RunEnd::Stopped);
     assert_eq!(fixture.poll().len(), 1);
 }
+
+/// Guards against a run number that no leader has used and that makes the true ones look older.
+#[test]
+fn a_run_number_that_no_leader_has_used_hides_no_run() {
+    for odd in [1_u64 << 40, u64::MAX] {
+        for end in [None, Some(RunEnd::Lapsed), Some(RunEnd::Done)] {
+            let mut fixture = new_leader(2);
+            fixture.register(0, vec![report(odd, end)]);
+            let adoption = fixture.register(1, vec![report(3, None)]);
+            assert_eq!(adoption.stops, vec![]);
+            assert_eq!(fixture.poll(), vec![], "agent 1 runs the task");
+            fixture.end(1, task(1, 0), 3, RunEnd::Stopped);
+            let started = fixture.poll();
+            assert!(started[0].1.run < RunNumber(1 << 40));
+        }
+    }
+}
+
+/// Guards against runs of successive leaders whose numbers don't tell which one is later.
+#[test]
+fn a_later_leader_uses_higher_numbers_however_often_starts_were_refused() {
+    let mut store = fixture::store(vec![queue("searches", 0)]);
+    let acceptance = fixture::acceptance(1, job(1, 6_000, 900));
+    store.apply(&Batch::new(0, vec![Command::Lead, acceptance]));
+    let mut earlier = Fixture::with_store(store.clone(), 1);
+    let mut highest = RunNumber::default();
+    for _ in 0..2_000 {
+        earlier.advance_ms(10);
+        for (agent, start) in earlier.poll() {
+            highest = start.run;
+            earlier.refuse(agent, &start, RefusalReason::NoInstance);
+        }
+    }
+    assert!(highest > RunNumber(1_000), "{highest}");
+    store.apply(&Batch::new(0, vec![Command::Lead]));
+    let mut later = Fixture::with_store(store, 1);
+    let (_, start) = later.poll()[0].clone();
+    assert!(start.run > highest, "{} {highest}", start.run);
+}
