Limit the figures in messages between processes and in stored records

One odd value in a message of a gateway, runner or coordinator was calculated with: a capacity drew all work to one instance, sums overflowed, a claim ended the runner when its run was over, and ids that are no addresses took the places of sound runners in a gateway's subset.

Cause: only what arrives from the platform was checked.

Change: instances with a capacity beyond the limits of jobs count as gone and aren't stored, unusable load reports are ignored, unusable starts are refused, and the needs in claims are limited. Gateways and the search for the leader leave out ids that can't be those of a peer.

--- a/crates/hemlock_dispatch/src/dispatcher/admission.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/admission.rs
@@ -180,7 +180,7 @@
             let capacity = agent.instance.as_ref().map_or(0, |i| i.capacity.cpu_milli);
             agent.usable_share(agent.load.map_or(capacity, |load| load.share_cpu_milli))
         };
-        let share: u64 = agents.iter().map(share).sum();
+        let share = agents.iter().map(share).fold(0, u64::saturating_add);
         if share == 0 {
             // Without a known outage the wait is unknown, and an instance may join at any moment.
             return self.expected_outage_ms(queue).unwrap_or(0);
@@ -206,11 +206,12 @@
         let instance_waits_ms = agents
             .iter()
             .map(|agent| agent.mean_wait_ms(&minimal_needs, level));
-        let mean_wait_ms = instance_waits_ms.sum::<u64>() / agents.len().max(1) as u64;
+        let total_wait_ms = instance_waits_ms.fold(0, u64::saturating_add);
+        let mean_wait_ms = total_wait_ms / agents.len().max(1) as u64;
         let more_urgent = self.admitted.get(service).map_or(0.0, |admitted| {
             admitted.more_urgent_cpu_milli(self.now, level)
         });
         let left_share = (1.0 - more_urgent / share as f64).max(MIN_LEFT_SHARE);
-        ((mean_wait_ms + local_work / share) as f64 / left_share) as u64
+        (mean_wait_ms.saturating_add(local_work / share) as f64 / left_share) as u64
     }
 }
--- a/crates/hemlock_dispatch/src/dispatcher/sessions.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/sessions.rs
@@ -188,15 +188,19 @@
         self.placement_due = true;
     }
 
-    /// Records a load report of an instance that several dispatchers share.
+    /// Records a load report of an instance that several dispatchers share. Returns whether its figures
+    /// can be used; otherwise the report before stays in force.
     pub fn load_reported(
         &mut self,
         now: Instant,
         id: AgentId,
         session: SessionId,
         load: LoadReport,
-    ) {
+    ) -> bool {
         self.advance(now);
+        if !load.is_usable() {
+            return false;
+        }
         if let Some(agent) = self.agent_in_session(id, session) {
             let percent = f64::from(load.slowest_percent);
             agent.health.note_slowest_running(percent / 100.0);
@@ -205,6 +209,7 @@
             agent.load_at = now;
             self.placement_due = true;
         }
+        true
     }
 
     /// Records which percentage of the instance's capacity gets no new starts. Load reports carry it
--- a/crates/hemlock_dispatch/src/instance.rs
+++ b/crates/hemlock_dispatch/src/instance.rs
@@ -118,7 +118,8 @@
         is_attached && !is_suspended && self.instance.as_ref().is_some_and(is_staying)
     }
 
-    /// Replaces the instance. Returns how long it was gone if it is back.
+    /// Replaces the instance; one whose report can't be used counts as gone. Returns how long it was
+    /// gone if it is back.
     pub(crate) fn set_instance(
         &mut self,
         now: Instant,
@@ -128,7 +129,7 @@
             .instance
             .as_ref()
             .is_none_or(|earlier| earlier.draining);
-        self.instance = instance;
+        self.instance = instance.filter(InstanceReport::is_usable);
         match &self.instance {
             Some(current) => {
                 self.service = Some(current.service.clone());
@@ -234,7 +235,7 @@
         let age_ms = now.since(self.load_at).as_ms();
         let end_ms = u64::from(load.next_ends_ms[newer_starts.min(REPORTED_ENDS - 1)]);
         let end_ms = end_ms.saturating_sub(age_ms).max(MIN_END_WAIT_MS);
-        end_ms + work_wait_ms
+        end_ms.saturating_add(work_wait_ms)
     }
 
     /// Wait of starts of the given urgency level at the instance as admission counts it, in
@@ -247,7 +248,7 @@
             return 0;
         };
         let (_, work_wait_ms) = self.work_ahead(load, level);
-        CHOSEN_END_WAIT_MS + work_wait_ms
+        CHOSEN_END_WAIT_MS.saturating_add(work_wait_ms)
     }
 
     /// The number of starts ordered since the load report, and the time that they and the queue
@@ -260,7 +261,7 @@
         let (starts, work) = newer.fold((0, 0), |(starts, work), run| {
             (starts + 1, work + run.needs.cpu_milli * run.expected_ms)
         });
-        let work_ms = (queued + work) as f64 * self.pace / capacity.max(1) as f64;
+        let work_ms = queued.saturating_add(work) as f64 * self.pace / capacity.max(1) as f64;
         (starts, work_ms as u64)
     }
 
--- a/crates/hemlock_dispatch/src/order.rs
+++ b/crates/hemlock_dispatch/src/order.rs
@@ -130,9 +130,21 @@
 }
 
 impl StartOrder {
+    /// Longest expected duration, in milliseconds: ten days, for a task of a day away from its data.
+    const MAX_EXPECTED_MS: u64 = 864_000_000;
+    /// Highest run number. Not all instances represent higher ones exactly.
+    const MAX_RUN: RunNumber = RunNumber((1 << 53) - 1);
+
+    /// Whether the figures are within the limits of the calculations with them.
+    pub fn is_usable(&self) -> bool {
+        MAX_RESOURCES.fits(&self.needs)
+            && self.expected_ms <= Self::MAX_EXPECTED_MS
+            && (RunNumber(1)..=Self::MAX_RUN).contains(&self.run)
+    }
+
     /// Expected CPU time, in milli-cores times milliseconds.
     pub fn work(&self) -> u64 {
-        self.needs.cpu_milli * self.expected_ms
+        self.needs.cpu_milli.saturating_mul(self.expected_ms)
     }
 }
 
@@ -207,6 +219,25 @@
     pub withheld_percent: u32,
 }
 
+impl LoadReport {
+    /// Most queued work of an urgency level, in milli-cores times milliseconds. The sum of all levels
+    /// stays within 64 bits.
+    const MAX_QUEUED_WORK: u64 = 1 << 60;
+    /// Highest pace, in percent.
+    const MAX_PACE_PERCENT: u32 = 1_000_000;
+
+    /// Whether the figures are within the limits of the calculations with them.
+    pub fn is_usable(&self) -> bool {
+        MAX_RESOURCES.fits(&self.free)
+            && self.share_cpu_milli <= MAX_RESOURCES.cpu_milli
+            && self.pace_percent <= Self::MAX_PACE_PERCENT
+            && self
+                .queued_work
+                .iter()
+                .all(|work| *work <= Self::MAX_QUEUED_WORK)
+    }
+}
+
 /// An order to stop a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopOrder {
--- a/crates/hemlock_jobs/src/instance.rs
+++ b/crates/hemlock_jobs/src/instance.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::spec::Resources;
+use crate::spec::{MAX_RESOURCES, Resources};
 
 /// Identifies an incarnation of an instance.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -31,3 +31,10 @@
     /// Whether it is draining and accepts no new work.
     pub draining: bool,
 }
+
+impl InstanceReport {
+    /// Whether the capacity is within the limits of the calculations with it.
+    pub fn is_usable(&self) -> bool {
+        MAX_RESOURCES.fits(&self.capacity)
+    }
+}
--- a/crates/hemlock_jobs/src/spec.rs
+++ b/crates/hemlock_jobs/src/spec.rs
@@ -40,6 +40,16 @@
             && need.accelerators <= self.accelerators
     }
 
+    /// The lesser of both amounts of each resource.
+    #[must_use]
+    pub fn min(&self, most: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(most.cpu_milli),
+            memory_mb: self.memory_mb.min(most.memory_mb),
+            accelerators: self.accelerators.min(most.accelerators),
+        }
+    }
+
     /// Adds an amount.
     pub fn add(&mut self, amount: &Self) {
         self.cpu_milli += amount.cpu_milli;
--- a/crates/hemlock_jobs/src/store.rs
+++ b/crates/hemlock_jobs/src/store.rs
@@ -104,7 +104,7 @@
             ended: stored.ended,
             agents: stored.agents,
             agents_version: stored.agents_version,
-            instances: stored.instances,
+            instances: usable_instances(stored.instances),
             evacuations,
             crashes: CrashLog::from_tasks(crashes),
         };
@@ -158,7 +158,9 @@
                 ApplyOutcome::Done
             }
             Command::NoteInstance(agent, instance) => {
-                self.instances.insert(*agent, instance.as_ref().clone());
+                if instance.is_usable() {
+                    self.instances.insert(*agent, instance.as_ref().clone());
+                }
                 ApplyOutcome::Done
             }
             Command::Configure(configuration) => self.configure(configuration),
@@ -251,7 +253,7 @@
     /// Removes ended jobs whose retention time is over.
     fn remove_expired_jobs(&mut self) {
         while let Some((ended_at_ms, id)) = self.ended.front().copied() {
-            if self.now_ms < ended_at_ms + self.retention_ms {
+            if self.now_ms < ended_at_ms.saturating_add(self.retention_ms) {
                 break;
             }
             self.ended.pop_front();
@@ -319,3 +321,11 @@
         &self.agents
     }
 }
+
+/// Drops the instances of a snapshot that can't be calculated with. Their agents report them anew.
+fn usable_instances(
+    mut instances: BTreeMap<AgentId, InstanceReport>,
+) -> BTreeMap<AgentId, InstanceReport> {
+    instances.retain(|_, instance| instance.is_usable());
+    instances
+}
--- a/crates/hemlock_jobs/tests/store.rs
+++ b/crates/hemlock_jobs/tests/store.rs
@@ -221,3 +221,34 @@
     }
     assert_eq!(RunNumber::default().next_recorded(), RunNumber(1));
 }
+
+/// Guards against processes that end, or place all work at one instance, because of a stored capacity
+/// that can't be calculated with.
+#[test]
+fn an_instance_with_an_impossible_capacity_is_not_stored() {
+    let report = |cpu_milli| {
+        let mut capacity = MAX_RESOURCES;
+        capacity.cpu_milli = cpu_milli;
+        Box::new(InstanceReport {
+            id: InstanceId {
+                name: "i-1".to_owned(),
+                born_ms: 1,
+            },
+            service: "s".to_owned(),
+            failure_domain: "a".to_owned(),
+            capacity,
+            labels: Vec::new(),
+            draining: false,
+        })
+    };
+    let mut store = JobStore::new(1_000);
+    let sound = Command::NoteInstance(AgentId(1), report(64_000));
+    let odd = Command::NoteInstance(AgentId(1), report(u64::MAX));
+    store.apply(&Batch::new(0, vec![sound, odd]));
+    let capacity = |store: &JobStore| store.instance(AgentId(1)).map(|i| i.capacity.cpu_milli);
+    assert_eq!(capacity(&store), Some(64_000));
+    let snapshot = store.snapshot().expect("it encodes");
+    let mut restored = JobStore::new(1_000);
+    restored.restore(&snapshot).expect("it decodes");
+    assert_eq!(capacity(&restored), Some(64_000));
+}
--- a/crates/hemlock_nodes/src/address.rs
+++ b/crates/hemlock_nodes/src/address.rs
@@ -27,3 +27,11 @@
     let port = u16::try_from(id.0 & 0xffff).unwrap_or(0);
     SocketAddr::from((Ipv4Addr::from(ip), port))
 }
+
+/// Returns the address on which the peer with this id listens, unless the id can't be one of a
+/// peer: it is out of range, or the address or the port is zero.
+pub fn peer_address(id: KeeperId) -> Option<SocketAddr> {
+    let address = keeper_address(id);
+    let is_usable = keeper_id(address) == id && !address.ip().is_unspecified();
+    (is_usable && address.port() > 0).then_some(address)
+}
--- a/crates/hemlock_nodes/src/connector.rs
+++ b/crates/hemlock_nodes/src/connector.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant as RuntimeInstant;
 
-use crate::address::keeper_address;
+use crate::address::{keeper_address, peer_address};
 use crate::connect_timeouts::ConnectTimeouts;
 use crate::message::{Reply, Request};
 
@@ -163,7 +163,7 @@
 
     fn add_discovered(&self, members: impl Iterator<Item = KeeperId>) {
         let mut discovered = self.discovered.borrow_mut();
-        discovered.extend(members);
+        discovered.extend(members.filter(|id| peer_address(*id).is_some()));
         while discovered.len() > MAX_DISCOVERED {
             discovered.pop_first();
         }
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -341,8 +341,7 @@
         for (report, action) in adoption.ends {
             self.handle_end(now, report, action);
         }
-        self.dispatcher
-            .load_reported(now, agent, session, load_report);
+        self.note_load(now, agent, session, load_report);
         adoption.stops
     }
 
@@ -357,8 +356,7 @@
     ) -> bool {
         let holds = self.dispatcher.confirm(now, agent, session);
         if let Some(load_report) = load_report {
-            self.dispatcher
-                .load_reported(now, agent, session, load_report);
+            self.note_load(now, agent, session, load_report);
         }
         holds
     }
@@ -400,8 +398,13 @@
                 changed.runs_lost,
             );
         }
-        self.dispatcher
-            .load_reported(now, agent, session, update.load_report);
+        self.note_load(now, agent, session, update.load_report);
+    }
+
+    fn note_load(&mut self, now: Instant, agent: AgentId, session: SessionId, load: LoadReport) {
+        if !self.dispatcher.load_reported(now, agent, session, load) {
+            warn!(event = "load-unusable", agent = agent.0, load = ?load);
+        }
     }
 
     /// Handles ended runs and refused starts.
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -12,10 +12,10 @@
 use hemlock_wire::prelude::*;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use super::Gateway;
-use crate::address::keeper_address;
+use crate::address::{keeper_address, peer_address};
 use crate::connect_timeouts::ConnectTimeouts;
 use crate::message::{Report, RunnerReply, RunnerRequest};
 use crate::subset::choose_subset;
@@ -110,7 +110,12 @@
     /// its runs have ended.
     pub(super) fn set_runners(self: &Rc<Self>, version: u64, agents: Vec<AgentId>) {
         self.runners.version.set(version);
-        let known: BTreeSet<AgentId> = agents.into_iter().collect();
+        let (known, unusable): (BTreeSet<AgentId>, BTreeSet<AgentId>) = agents
+            .into_iter()
+            .partition(|agent| peer_address(KeeperId(agent.0)).is_some());
+        for agent in unusable {
+            warn!(event = "agent-unusable", agent = agent.0, version);
+        }
         let followed = choose_subset(self.identity.incarnation.0, &known, self.max_runners);
         self.runners.followed.replace(followed.clone());
         let mut links = self.runners.links.borrow_mut();
--- a/crates/hemlock_nodes/src/runner/heartbeats.rs
+++ b/crates/hemlock_nodes/src/runner/heartbeats.rs
@@ -38,7 +38,8 @@
     pub(super) fn restore_instance(self: &Rc<Self>, recorded: Option<InstanceReport>) {
         let is_unknown = self.runs.borrow().instance().is_none();
         // Without a start time, an answer couldn't tell a restarted instance from the recorded one.
-        let usable = recorded.filter(|recorded| is_unknown && recorded.id.born_ms > 0);
+        let usable = recorded
+            .filter(|recorded| is_unknown && recorded.id.born_ms > 0 && recorded.is_usable());
         if let Some(instance) = usable {
             self.request_confirmation(Heartbeat {
                 instance,
--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -196,6 +196,31 @@
     });
 }
 
+/// Guards against sound runners that a gateway doesn't follow, because ids that can't be those of
+/// runners take their places.
+#[test]
+fn ids_that_are_no_addresses_take_the_place_of_no_runner() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let keeper = Rc::new(KeeperStandin::default());
+        let runner = Rc::new(RunnerStandin::default());
+        let as_service = Rc::clone(&keeper) as Rc<dyn Service>;
+        let keeper_address = start(as_service, Role::Keeper).await;
+        let as_service = Rc::clone(&runner) as Rc<dyn Service>;
+        let runner_address = start(as_service, Role::Agent).await;
+        let sound = AgentId(keeper_id(runner_address).0);
+        let without_port = (1..40).map(|ip| ip << 16);
+        let out_of_range = (1..40).map(|high| (high << 48) | 1);
+        let odd = without_port.chain(out_of_range).chain([0, u64::MAX]);
+        keeper.set_agents(odd.map(AgentId).chain([sound]));
+        start_gateway(keeper_address, 1);
+        wait_until("the runner is attached", || runner.attached.get() == 1).await;
+    });
+}
+
 #[test]
 fn a_runner_removed_by_the_keepers_is_kept_while_its_session_is_active() {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -35,6 +35,7 @@
             let result = match (in_session, for_instance) {
                 (false, _) => Err(RefusalReason::Session),
                 (true, false) => Err(RefusalReason::NoInstance),
+                _ if !start.is_usable() => Err(RefusalReason::NoRoom),
                 _ if self.is_evacuated() => Err(RefusalReason::Evacuated),
                 _ if self.is_known(task) => Err(RefusalReason::Outdated),
                 _ if !self.fits_instance(&start.needs) => Err(RefusalReason::NoRoom),
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -92,7 +92,7 @@
         let running = tracked.filter(|tracked| tracked.run == run);
         let end = match running {
             Some(tracked) => {
-                let needs = Some(tracked.needs.unwrap_or(claim.needs));
+                let needs = Some(tracked.needs.unwrap_or(claim.needs.min(&MAX_RESOURCES)));
                 let owner = Some(owner);
                 self.insert(
                     task,
--- a/crates/hemlock_runs/tests/odd_entries.rs
+++ b/crates/hemlock_runs/tests/odd_entries.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{CAPACITY, GATEWAY, Harness, instance, task};
+use harness::{CAPACITY, GATEWAY, Harness, instance, needs, start, task};
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_runs::prelude::*;
@@ -165,3 +165,72 @@
     harness.receive(&heartbeat((1 << 40) + 1, 60));
     assert_eq!(reported_percent(&harness), 60);
 }
+
+/// Guards against a runner that ends because of the figures in an order or a claim.
+#[test]
+fn orders_and_claims_with_impossible_figures_disturb_no_run() {
+    const HUGE: Resources = Resources {
+        cpu_milli: u64::MAX,
+        memory_mb: u64::MAX,
+        accelerators: u64::MAX,
+    };
+    let mut harness = Harness::new();
+    harness.attach(GATEWAY, 1, &[]);
+    harness.start(GATEWAY, 1, 1, 6_000);
+    let sound = start(2, 1, 6_000);
+    for odd in [
+        StartOrder {
+            needs: HUGE,
+            ..sound.clone()
+        },
+        StartOrder {
+            expected_ms: u64::MAX,
+            ..sound.clone()
+        },
+        StartOrder {
+            run: RunNumber(u64::MAX),
+            ..sound.clone()
+        },
+        StartOrder {
+            run: RunNumber(0),
+            ..sound.clone()
+        },
+    ] {
+        let (calls, refused) = harness.order(GATEWAY, 1, vec![odd], vec![]);
+        assert_eq!((calls.len(), refused.len()), (0, 1));
+    }
+    let late = StartOrder {
+        urgency: Urgency {
+            class: u8::MAX,
+            priority: u32::MAX,
+            due_in_ms: u64::MAX,
+        },
+        stall_after_ms: u64::MAX,
+        ..sound
+    };
+    let (calls, refused) = harness.order(GATEWAY, 1, vec![late], vec![]);
+    assert_eq!((calls.len(), refused.len()), (1, 0));
+    harness.execute(calls);
+
+    // A new process learns the needs of the runs from the claims.
+    let mut harness = Harness::just_started(harness.model, harness::FENCE + 1);
+    harness.heartbeat(false);
+    harness.list();
+    let claim = |job, needs| Claim {
+        task: task(job),
+        run: RunNumber(1),
+        needs,
+    };
+    let claims = [claim(1, HUGE), claim(2, needs(6_000)), claim(2, HUGE)];
+    let inventory = harness.attach(GATEWAY, 2, &claims);
+    assert!(inventory.runs.iter().all(|run| run.end.is_none()));
+    assert_eq!(
+        harness.runs.load_report(harness.now, GATEWAY).free,
+        Resources::default()
+    );
+    for job in [1, 2] {
+        harness.model.end(task(job), RunEnd::Done);
+    }
+    harness.list();
+    assert_eq!(harness.runs.used(), &Resources::default());
+}
