Keep runs uncertain after the leader's confirmations were interrupted

A runner that had been suspended, or started anew, reported its runs to one new leader without proof, was confirmed by it, and reported them to the next new leader as the latest ones of their tasks. That leader would have taken an older run for the latest again.

Cause: the proof depended on the last confirmation only, not on those since the run was ordered.

Change: each run, end and crash keeps whether confirmations have gone on since the run was ordered by this process.

Evidence: hemlock_runs tests/leader_changes.rs, a_later_confirmation_makes_no_run_certain_again, failed before.

--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -152,6 +152,8 @@
 pub(crate) struct NumberedEnd {
     pub(crate) report: RunReport,
     pub(crate) owner: Option<Owner>,
+    /// Same as [`TrackedRun::is_certain`] when the run ended, and until now.
+    pub(crate) is_certain: bool,
     /// Whether the end is recorded or needs no record.
     pub(crate) settled: bool,
     /// Whether a leader may have been told of the end.
--- a/crates/hemlock_runs/src/runs/crashes.rs
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -21,8 +21,8 @@
     /// Reports of runs whose ends must be recorded, oldest first, until the leader has done so.
     to_record: VecDeque<CrashReport>,
     /// Runs that ended when the instance had been silent for too long. A restart of the instance
-    /// shows that it crashed.
-    silent: Vec<(Option<Owner>, RunReport)>,
+    /// shows that it crashed. Each has its owner and whether it is [certain](CrashReport::is_certain).
+    silent: Vec<(Option<Owner>, bool, RunReport)>,
     /// Strongly suspected tasks of the latest crash, until they are taken.
     suspects: Vec<CrashSuspect>,
 }
@@ -31,8 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 struct CrashReport {
     report: RunReport,
-    /// Whether the run was the leader's. The owner of a run of an earlier process is unknown.
-    is_of_leader: bool,
+    /// Same as [`TrackedRun::is_certain`] when the run ended, and until now.
+    is_certain: bool,
     /// Whether a leader may have been told of the crash.
     reported: bool,
 }
@@ -60,10 +60,16 @@
             .for_each(|kept| kept.reported = true);
     }
 
-    /// Runs of the leader whose crash no leader has been told of.
+    /// Notes that a leader may have taken the runs for lost.
+    pub(super) fn note_interruption(&mut self) {
+        let kept = self.to_record.iter_mut();
+        kept.for_each(|kept| kept.is_certain = false);
+    }
+
+    /// Certain runs whose crash no leader has been told of.
     pub(super) fn unreported(&self) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
         let kept = self.to_record.iter();
-        kept.filter(|kept| kept.is_of_leader && !kept.reported)
+        kept.filter(|kept| kept.is_certain && !kept.reported)
             .map(|kept| (kept.report.task, kept.report.run))
     }
 
@@ -116,9 +122,10 @@
                 took_ms: tracked.elapsed_ms(now),
             };
             if loss == Loss::Silent && !is_leaving {
-                self.crashes.silent.push((tracked.owner, report));
+                let lost = (tracked.owner, tracked.is_certain, report);
+                self.crashes.silent.push(lost);
             }
-            self.report_lost_run(now, tracked.owner, report);
+            self.report_lost_run(now, tracked.owner, tracked.is_certain, report);
         }
         self.refuse_queue(RefusalReason::NoInstance);
     }
@@ -135,9 +142,9 @@
 
     /// Reports the runs of an instance that fell silent as crashed, after it has been restarted.
     pub(super) fn report_silent_crashes(&mut self, now: Instant) {
-        for (owner, report) in std::mem::take(&mut self.crashes.silent) {
+        for (owner, is_certain, report) in std::mem::take(&mut self.crashes.silent) {
             let end = Some(RunEnd::Crashed(Suspicion::Weak));
-            self.report_lost_run(now, owner, RunReport { end, ..report });
+            self.report_lost_run(now, owner, is_certain, RunReport { end, ..report });
         }
     }
 
@@ -150,16 +157,22 @@
             end: tracked.end_if_unanswered,
             took_ms: 0,
         };
-        self.report_lost_run(now, tracked.owner, report);
+        self.report_lost_run(now, tracked.owner, tracked.is_certain, report);
     }
 
-    fn report_lost_run(&mut self, now: Instant, owner: Option<Owner>, report: RunReport) {
+    fn report_lost_run(
+        &mut self,
+        now: Instant,
+        owner: Option<Owner>,
+        is_certain: bool,
+        report: RunReport,
+    ) {
         let is_recorded = report.run.is_recorded();
         let crashed = matches!(report.end, Some(RunEnd::Crashed(_)));
         if crashed && is_recorded {
             self.crashes.keep(CrashReport {
                 report,
-                is_of_leader: owner == Some(Owner::Leader),
+                is_certain,
                 reported: false,
             });
         }
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -95,6 +95,7 @@
             let numbered = NumberedEnd {
                 report,
                 owner,
+                is_certain: known.is_some_and(|tracked| tracked.is_certain),
                 settled,
                 reported: false,
                 lease_lapsed: false,
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -233,6 +233,7 @@
     TrackedRun {
         owner: None,
         run,
+        is_certain: false,
         queue: None,
         needs: None,
         expected_ms: 0,
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -130,16 +130,11 @@
     /// Begins a session with the leader. Returns all runs and ends that may belong to it: its own,
     /// and those of unknown owners whose numbers show that they need a record.
     pub fn attach_leader(&mut self, now: Instant, session: SessionId) -> Inventory {
-        let is_continuous = self.is_continuous(now);
-        let mut inventory = self.attach(now, Owner::Leader, session, &[]);
-        if is_continuous {
-            let active = inventory
-                .runs
-                .iter()
-                .map(|report| (report.task, report.run));
-            inventory.latest_runs.extend(active);
-            inventory.latest_runs.extend(self.proven_ends());
+        if !self.is_continuous(now) {
+            self.note_interruption();
         }
+        let mut inventory = self.attach(now, Owner::Leader, session, &[]);
+        inventory.latest_runs = self.certain_runs().collect();
         let unknown = self.table.iter();
         let unknown =
             unknown.filter(|(_, tracked)| tracked.owner.is_none() && tracked.run.is_recorded());
@@ -170,16 +165,28 @@
             .is_some_and(|confirmed_at| now < confirmed_at + authority + longest_lease)
     }
 
-    /// The ended runs of the leader after which no leader can have started their tasks again: a
-    /// success is final, and of other ends none has been told.
-    fn proven_ends(&self) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
+    /// Notes that a leader may have taken all runs for lost, and started their tasks elsewhere.
+    fn note_interruption(&mut self) {
+        let runs = self.table.values_mut();
+        runs.for_each(|tracked| tracked.is_certain = false);
+        let ends = self.ends.values_mut();
+        ends.for_each(|ended| ended.is_certain = false);
+        self.crashes.note_interruption();
+    }
+
+    /// The leader's runs after which no leader can have started their tasks again: those that are
+    /// active, that have succeeded, or whose end no leader has been told of.
+    fn certain_runs(&self) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
+        let active = self.table.iter();
+        let active = active.filter(|(_, run)| run.owner == Some(Owner::Leader) && run.is_certain);
+        let active = active.map(|(task, run)| (*task, run.run));
         let ends = self.ends.values();
         let ends = ends.filter(|ended| {
-            ended.owner == Some(Owner::Leader)
-                && (ended.report.end == Some(RunEnd::Done) || !ended.reported)
+            let is_final = ended.report.end == Some(RunEnd::Done) || !ended.reported;
+            ended.owner == Some(Owner::Leader) && ended.is_certain && is_final
         });
         let ends = ends.map(|ended| (ended.report.task, ended.report.run));
-        ends.chain(self.crashes.unreported())
+        active.chain(ends).chain(self.crashes.unreported())
     }
 
     /// Handles the leader's answer to an inventory: settles the ends in it but the deferred ones,
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -91,6 +91,7 @@
             let tracked = TrackedRun {
                 owner: Some(queued.owner),
                 run: queued.order.run,
+                is_certain: true,
                 queue: Some(queued.order.queue),
                 needs: Some(needs),
                 expected_ms: queued.order.expected_ms,
--- a/crates/hemlock_runs/src/tracked_run.rs
+++ b/crates/hemlock_runs/src/tracked_run.rs
@@ -45,6 +45,9 @@
     /// `None` until an owner claims the run, if an earlier process of this agent started it.
     pub(crate) owner: Option<Owner>,
     pub(crate) run: RunNumber,
+    /// Whether the leader's confirmations have not been interrupted since this process ordered the
+    /// run, so that no leader can have taken it for lost.
+    pub(crate) is_certain: bool,
     /// The queue of the job; `None` if an earlier process of this agent started the run.
     pub(crate) queue: Option<QueueId>,
     /// Resources that the run occupies; `None` until the run is claimed, as for the owner.
--- a/crates/hemlock_runs/tests/leader_changes.rs
+++ b/crates/hemlock_runs/tests/leader_changes.rs
@@ -100,6 +100,34 @@
     assert_eq!(harness.runs.running(), 1);
 }
 
+/// Guards against a run that counts as the latest one because another leader has confirmed the runner
+/// since, although an earlier leader may have started its task elsewhere.
+#[test]
+fn a_later_confirmation_makes_no_run_certain_again() {
+    let mut restarted = Harness::just_started(running().model, FENCE + 1);
+    restarted.heartbeat(false);
+    restarted.list();
+    let mut suspended = running();
+    suspended.advance_ms(DispatchSettings::default().expiry().as_ms());
+    let mut ended = running();
+    ended.model.end(task(1), RunEnd::Done);
+    ended.list();
+    ended.advance_ms(DispatchSettings::default().expiry().as_ms());
+    let mut crashed = running();
+    crashed.runs.instance_lost(crashed.now, crashed.now);
+    crashed.advance_ms(DispatchSettings::default().expiry().as_ms());
+    for mut harness in [restarted, suspended, ended, crashed] {
+        let now = harness.now;
+        let inventory = harness.runs.attach_leader(now, SessionId(2));
+        let deferred = inventory.runs.clone();
+        harness.runs.leader_adopted(now, &inventory, &[], &deferred);
+        harness.runs.owner_heard(Owner::Leader, SessionId(2), now);
+        let inventory = harness.runs.attach_leader(now, SessionId(3));
+        assert_eq!(inventory.runs.len(), 1);
+        assert_eq!(inventory.latest_runs, vec![]);
+    }
+}
+
 /// Guards against a deferred end that the instance is told to forget.
 #[test]
 fn a_deferred_end_stays_listed_until_it_is_confirmed() {
