Tell an instance the number of an unexpected end only once a higher one is listed

An entry of another writer with the number of an end that was still to come was told to the instance as the last end that it may forget, so that all ends in between were lost. One with the number of another end hid that end.

Cause: ends were kept by their number alone, and every settled one was told.

Change: ends are kept by number and run. An end of a run that isn't known, unless it is in the first listing that a process gets, is told once a higher number is listed.

Evidence: hemlock_runs tests/odd_entries.rs, a_number_that_another_writer_has_used_hides_no_end, failed before.

--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -147,11 +147,17 @@
     pub(crate) last_order: u64,
 }
 
+/// The number of a listed end, and the run that has ended.
+type EndKey = (u64, TaskKey, RunNumber);
+
 /// An end that the instance has listed under a number and that is not yet discarded.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NumberedEnd {
     pub(crate) report: RunReport,
     pub(crate) owner: Option<Owner>,
+    /// Whether the run was known, or may be one that an earlier process ordered. Any other end may
+    /// be of another writer.
+    pub(crate) is_expected: bool,
     /// Same as [`TrackedRun::is_certain`] when the run ended, and until now.
     pub(crate) is_certain: bool,
     /// Whether the end is recorded or needs no record.
@@ -206,8 +212,8 @@
     queued_needs: Resources,
     /// Work of the queued starts by level of urgency, in thousandths of a core times milliseconds.
     queued_work: [u64; URGENCY_LEVELS],
-    /// Listed ends with numbers above `settled`, by number.
-    ends: BTreeMap<u64, NumberedEnd>,
+    /// Listed ends with numbers above `settled`. Another writer may have used the number of an end.
+    ends: BTreeMap<EndKey, NumberedEnd>,
     /// Number up to which all ends are settled.
     settled: u64,
     /// Suspends the instance for all owners while it fails what it runs.
@@ -445,7 +451,8 @@
         for (owner, outcome) in &outcomes {
             match outcome {
                 RunOutcome::Ended(report, number) if *owner == Owner::Leader => {
-                    let ended = number.and_then(|number| self.ends.get_mut(&number));
+                    let key = number.map(|number| (number, report.task, report.run));
+                    let ended = key.and_then(|key| self.ends.get_mut(&key));
                     ended.into_iter().for_each(|ended| ended.reported = true);
                     self.crashes.note_reported(report);
                 }
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -35,7 +35,7 @@
         self.runs_known = true;
         self.fence_accepted = true;
         self.last_answered_request_at = self.last_answered_request_at.max(asked_at);
-        self.note_ends(now, listing);
+        self.note_ends(now, listing, first);
         if first && !restarted {
             self.forget_silent_runs();
         }
@@ -58,9 +58,12 @@
         (change, calls)
     }
 
-    fn note_ends(&mut self, now: Instant, listing: &Listing) {
+    /// Processes the listed ends that are new. The first listing may have ends of runs that aren't in
+    /// the table.
+    fn note_ends(&mut self, now: Instant, listing: &Listing, is_first: bool) {
         for ended in &listing.ended {
-            if ended.number <= self.settled || self.ends.contains_key(&ended.number) {
+            let key = (ended.number, ended.task, ended.run);
+            if ended.number <= self.settled || self.ends.contains_key(&key) {
                 continue;
             }
             let known = self.table.get(&ended.task).copied();
@@ -95,12 +98,13 @@
             let numbered = NumberedEnd {
                 report,
                 owner,
+                is_expected: known.is_some() || is_first,
                 is_certain: known.is_some_and(|tracked| tracked.is_certain),
                 settled,
                 reported: false,
                 lease_lapsed: false,
             };
-            self.ends.insert(ended.number, numbered);
+            self.ends.insert(key, numbered);
             // Only the leader can settle an end that has no owner.
             let recipient = owner.or((!settled).then_some(Owner::Leader));
             self.report_end(now, recipient, report, Some(ended.number));
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -241,22 +241,26 @@
 
     /// Discards the settled ends up to the first one that isn't settled.
     ///
-    /// The instance numbers ends in sequence and forgets all up to the number that it is told. A
-    /// number far above the others may be of another writer, so it isn't told until a higher one is
-    /// listed: the ends in between would be lost.
+    /// The instance numbers ends in sequence and forgets all up to the number that it is told. An
+    /// unexpected end may be of another writer, whose number would make the instance forget ends
+    /// that are still to come. It isn't told such a number until a higher one is listed.
     pub(super) fn advance_settled(&mut self) {
-        loop {
-            let mut numbers = self.ends.iter();
-            let Some((number, ended)) = numbers.next() else {
-                return;
-            };
-            let number = *number;
+        while let Some((number, _, _)) = self.ends.keys().next().copied() {
+            let mut same = self.ends.iter().take_while(|(key, _)| key.0 == number);
             let is_next = number <= self.settled.saturating_add(MAX_END_NUMBER_GAP);
-            let is_followed = numbers.next().is_some();
-            if !ended.settled || !(is_next || is_followed) {
+            let is_expected = is_next && same.clone().any(|(_, ended)| ended.is_expected);
+            let is_followed = self
+                .ends
+                .keys()
+                .next_back()
+                .is_some_and(|key| key.0 > number);
+            let is_settled = same.all(|(_, ended)| ended.settled);
+            if !is_settled || !(is_expected || is_followed) {
                 return;
             }
-            self.ends.pop_first();
+            while self.ends.keys().next().is_some_and(|key| key.0 == number) {
+                self.ends.pop_first();
+            }
             self.settled = self.settled.max(number);
         }
     }
--- a/crates/hemlock_runs/tests/odd_entries.rs
+++ b/crates/hemlock_runs/tests/odd_entries.rs
@@ -59,6 +59,33 @@
     }
 }
 
+/// Guards against ends that are lost because another writer has used their number, or one that is to
+/// come soon.
+#[test]
+fn a_number_that_another_writer_has_used_hides_no_end() {
+    for number in 1..=6 {
+        let mut harness = Harness::new();
+        harness.attach(GATEWAY, 1, &[]);
+        for job in 1..=8 {
+            harness.start(GATEWAY, 1, job, 6_000);
+            harness.advance_ms(20);
+            list_with(&mut harness, |listing| {
+                listing.ended.insert(0, foreign_end(number));
+            });
+            harness.model.end(task(job), RunEnd::Done);
+            harness.advance_ms(20);
+            list_with(&mut harness, |listing| {
+                listing.ended.insert(0, foreign_end(number));
+            });
+            let ended = (task(job), Some(RunEnd::Done));
+            assert_eq!(ends(&mut harness), vec![ended], "{number}");
+        }
+        harness.list();
+        assert_eq!(harness.runs.settled(), 8);
+        assert!(harness.model.unsettled().is_empty());
+    }
+}
+
 /// Guards against ends that a new process of the runner never lets its instance forget.
 #[test]
 fn a_new_process_settles_high_numbers_once_another_end_follows() {
