Don't take a crash for the end of the latest run after its lapse was reported

A runner whose instance fell silent reported its runs as lapsed. When the instance turned out to have crashed, it reported them again, and told the next leader that they were the latest ones, although the earlier leader may have started their tasks elsewhere.

Cause: the second report of a run was kept with the certainty of the first.

--- a/crates/hemlock_runs/src/runs/crashes.rs
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -21,8 +21,8 @@
     /// Reports of runs whose ends must be recorded, oldest first, until the leader has done so.
     to_record: VecDeque<CrashReport>,
     /// Runs that ended when the instance had been silent for too long. A restart of the instance
-    /// shows that it crashed. Each has its owner and whether it is [certain](CrashReport::is_certain).
-    silent: Vec<(Option<Owner>, bool, RunReport)>,
+    /// shows that it crashed.
+    silent: Vec<(Option<Owner>, RunReport)>,
     /// Strongly suspected tasks of the latest crash, until they are taken.
     suspects: Vec<CrashSuspect>,
 }
@@ -122,8 +122,7 @@
                 took_ms: tracked.elapsed_ms(now),
             };
             if loss == Loss::Silent && !is_leaving {
-                let lost = (tracked.owner, tracked.is_certain, report);
-                self.crashes.silent.push(lost);
+                self.crashes.silent.push((tracked.owner, report));
             }
             self.report_lost_run(now, tracked.owner, tracked.is_certain, report);
         }
@@ -142,8 +141,10 @@
 
     /// Reports the runs of an instance that fell silent as crashed, after it has been restarted.
     pub(super) fn report_silent_crashes(&mut self, now: Instant) {
-        for (owner, is_certain, report) in std::mem::take(&mut self.crashes.silent) {
+        for (owner, report) in std::mem::take(&mut self.crashes.silent) {
             let end = Some(RunEnd::Crashed(Suspicion::Weak));
+            // The leader may have been told that the run lapsed, and have started the task again.
+            let is_certain = false;
             self.report_lost_run(now, owner, is_certain, RunReport { end, ..report });
         }
     }
--- a/crates/hemlock_runs/tests/leader_changes.rs
+++ b/crates/hemlock_runs/tests/leader_changes.rs
@@ -6,6 +6,7 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_runs::prelude::*;
+use hemlock_standin::InstanceModel;
 
 /// The first run of a job's task.
 fn first_run(job: u64) -> (TaskKey, RunNumber) {
@@ -69,6 +70,24 @@
     assert_eq!(latest_runs(&mut harness), vec![first_run(1)]);
 }
 
+/// Guards against a task that is started twice, because the earlier leader was told that the run of a
+/// silent instance has lapsed, and the next one that the instance has crashed under it.
+#[test]
+fn a_crash_that_is_noticed_after_a_lapse_proves_nothing() {
+    let mut harness = running();
+    harness.advance_ms(1_500);
+    harness
+        .runs
+        .owner_heard(Owner::Leader, SessionId(1), harness.now);
+    harness.runs.expire_silent_instance(harness.now);
+    assert_eq!(harness.runs.take_outbox().len(), 1);
+    harness.model = InstanceModel::new(2);
+    harness.list();
+    let inventory = harness.runs.attach_leader(harness.now, SessionId(2));
+    assert_eq!(inventory.runs.len(), 1);
+    assert_eq!(inventory.latest_runs, vec![]);
+}
+
 /// Guards against an inventory that a leader was sent but may have lost: it counts as told.
 #[test]
 fn an_end_of_an_earlier_inventory_proves_nothing() {
