Drop queued starts of expired sessions before the timer runs

After a suspension a runner handled the answer to a listing before its timer, and started what its owner had given up and placed elsewhere meanwhile.

Cause: only the timer ended sessions and dropped their queued starts.

Change: a queued start whose owner's session has expired is dropped when its turn comes.

--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -285,9 +285,13 @@
     /// A process that was suspended may handle messages that arrived meanwhile before its timer
     /// ends the session. Their sender may have given up its runs here since.
     pub(super) fn is_in_session(&self, owner: Owner, session: SessionId, now: Instant) -> bool {
+        self.session(owner) == Some(session) && self.has_session(owner, now)
+    }
+
+    /// Whether the owner has a session that has not expired.
+    pub(super) fn has_session(&self, owner: Owner, now: Instant) -> bool {
         let state = self.owners.get(&owner);
-        let current = state.filter(|state| state.session == session);
-        current.is_some_and(|state| !is_gone(&self.settings, owner, state, now))
+        state.is_some_and(|state| !is_gone(&self.settings, owner, state, now))
     }
 
     /// Tells that the connection of an owner's session has closed.
--- a/crates/hemlock_runs/src/runs/queue.rs
+++ b/crates/hemlock_runs/src/runs/queue.rs
@@ -69,6 +69,12 @@
             let Some(queued) = self.queued.get(&task) else {
                 break;
             };
+            // The timer that ends sessions may be behind after a suspension, and the owner may have
+            // given up the start since.
+            if !self.has_session(queued.owner, now) {
+                self.dequeue(task);
+                continue;
+            }
             if let Some(position) = postponed(now, queued) {
                 self.move_to(task, position);
                 continue;
--- a/crates/hemlock_runs/tests/late_orders.rs
+++ b/crates/hemlock_runs/tests/late_orders.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{GATEWAY, Harness, start};
+use harness::{GATEWAY, Harness, start, task};
 use hemlock_dispatch::prelude::*;
 use hemlock_runs::prelude::*;
 
@@ -36,3 +36,22 @@
     harness.run_for_ms(50);
     assert_eq!(harness.runs.session(GATEWAY), None);
 }
+
+/// Guards against tasks that start a second time: a runner that was suspended listed its instance
+/// before its own timer had ended the session, and started what its owner had given up meanwhile.
+#[test]
+fn a_queued_start_is_dropped_once_its_session_has_expired() {
+    for (owner, timeout_ms) in [(GATEWAY, 850), (Owner::Leader, 2_000)] {
+        let mut harness = Harness::new();
+        harness.attach(owner, 1, &[]);
+        harness.start(owner, 1, 1, 64_000);
+        let (calls, refused) = harness.order(owner, 1, vec![start(2, 1, 64_000)], vec![]);
+        assert_eq!((calls, refused), (vec![], vec![]));
+        harness.advance_ms(timeout_ms + 1);
+        harness.model.end(task(1), RunEnd::Done);
+        harness.list();
+        harness.run_for_ms(100);
+        assert_eq!(harness.model.started.len(), 1, "{owner:?}");
+        assert_eq!(harness.runs.waiting(), 0);
+    }
+}
