--- a/crates/hemlock_runs/tests/leaders/leader.rs
+++ b/crates/hemlock_runs/tests/leaders/leader.rs
@@ -1,5 +1,7 @@
 //! The simulated leader and the log.
 
+use std::collections::BTreeSet;
+
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use rand::RngExt;
@@ -22,6 +24,8 @@
 pub(super) struct Leader {
     dispatcher: Dispatcher,
     commits: Vec<Commit>,
+    /// Agents whose removal from the record is being committed.
+    delisting: BTreeSet<AgentId>,
 }
 
 impl Simulation {
@@ -58,6 +62,7 @@
             self.leader = Some(Leader {
                 dispatcher: Dispatcher::new(self.now(), settings, &self.store),
                 commits: Vec::new(),
+                delisting: BTreeSet::new(),
             });
         }
         if self.chance(150) {
@@ -72,12 +77,9 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        let mut commands: Vec<Command> = leader
-            .dispatcher
-            .take_missing_agents()
-            .into_iter()
-            .map(Command::Delist)
-            .collect();
+        let missing = leader.dispatcher.take_missing_agents();
+        leader.delisting.extend(&missing);
+        let mut commands: Vec<Command> = missing.into_iter().map(Command::Delist).collect();
         let proven = leader.dispatcher.take_proven_successes().into_iter();
         commands.extend(proven.map(|(task, run)| Command::End(task, run, TaskEnd::Done)));
         let orders = leader.dispatcher.poll(now);
@@ -144,6 +146,9 @@
                     (Command::End(task, run, end), ApplyOutcome::Done) => {
                         leader.dispatcher.end_recorded(now, *task, *run, *end);
                     }
+                    (Command::Delist(agent), _) => {
+                        leader.delisting.remove(agent);
+                    }
                     _ => {}
                 }
             }
@@ -200,6 +205,7 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
+        let is_recorded = is_recorded && !leader.delisting.contains(&agent);
         let dispatcher = &mut leader.dispatcher;
         match message {
             ToLeader::Register if is_recorded => self.register(runner),
--- a/crates/hemlock_standin/src/instance.rs
+++ b/crates/hemlock_standin/src/instance.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Whether the lease has not expired.
+    pub fn has_lease(&self) -> bool {
+        self.clock_ms < self.lease_until_ms
+    }
+
     /// Ends the task's run, if it has one.
     pub fn end(&mut self, task: TaskKey, end: RunEnd) {
         let Some(run) = self.running.remove(&task).map(|run| run.run) else {
