--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -32,8 +32,8 @@
 
 /// Longest wait for the leader to record ends, which covers a stalled sync and an election.
 const REPORT_TIMEOUT: DurationMs = DurationMs::new(2_500);
-/// Time after which ends are reported again that the leader has deferred. It defers them until all
-/// runners have reported, which takes about a second after a change of the leader.
+/// Time after which ends are reported again that the leader has deferred. It decides on them once all
+/// runners have reported, or their leases have lapsed.
 const DEFERRED_REPORT_DELAY: DurationMs = DurationMs::new(100);
 /// Added to the longest lease for calls of an earlier process that were still in transit.
 const LEASE_MARGIN: DurationMs = DurationMs::new(100);
--- a/crates/hemlock_runs/src/runs/incarnation.rs
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -15,8 +15,8 @@
 
 /// Largest difference of the sequence numbers of two heartbeats that follow each other.
 const MAX_SEQUENCE_STEP: u64 = 1_000_000;
-/// Least time between two heartbeats of an instance that aren't late. Instances send one or two in
-/// a second.
+/// Least time between two heartbeats of an instance. Late ones that arrive together follow each other
+/// faster.
 const MIN_HEARTBEAT_INTERVAL: DurationMs = DurationMs::new(300);
 
 /// Periodic status report of an instance.
