--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -4,6 +4,7 @@
 mod crashed_minions;
 mod missing_label;
 mod queued_count;
+mod returning_minion;
 
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -45,6 +46,7 @@
         "cancelled-elsewhere" => cancelled_elsewhere::play(&deployment, trouble).await,
         "missing-label" => missing_label::play(&deployment, trouble).await,
         "queued-count" => queued_count::play(&deployment, trouble).await,
+        "returning-minion" => returning_minion::play(&deployment, trouble).await,
         "crashed-minions" => crashed_minions::play(&deployment, trouble).await,
         _ => Verdict::NotRun,
     };
--- a/review/standin-3/src/minion.rs
+++ b/review/standin-3/src/minion.rs
@@ -22,6 +22,8 @@
 const HEARTBEAT_RETRY: Duration = Duration::from_millis(100);
 /// `holdMaxMs`.
 const MAX_LEASE_MS: u64 = 1_000;
+/// Time from the moment at which a minion takes calls to its first heartbeat.
+const REGISTRATION_DELAY: Duration = Duration::from_millis(60);
 /// Most ends in one listing.
 const ENDS_PER_LISTING: usize = 500;
 
@@ -46,6 +48,8 @@
     task: String,
     run: u64,
     how: &'static str,
+    /// Whether the lease has lapsed since, so that the end can't be taken note of any more.
+    has_lapsed: bool,
 }
 
 /// A start or an end that a minion has seen.
@@ -55,10 +59,13 @@
     pub(crate) minion: usize,
     pub(crate) task: String,
     pub(crate) run: u64,
-    /// `start`, or how the run ended.
+    /// `start`, how the run ended, or [`NOTED`].
     pub(crate) what: &'static str,
 }
 
+/// A success that was taken note of, as an event.
+pub(crate) const NOTED: &str = "success taken note of";
+
 /// All starts and ends on all minions, in order.
 pub(crate) type Events = Rc<RefCell<Vec<Event>>>;
 
@@ -236,6 +243,7 @@
             }
         };
         let beating = async {
+            tokio::time::sleep(REGISTRATION_DELAY).await;
             loop {
                 match self.send_heartbeat().await {
                     true => tokio::time::sleep(HEARTBEAT_INTERVAL).await,
@@ -286,6 +294,9 @@
         };
         let now_ms = life.clock_ms();
         let has_lapsed = now_ms >= life.lease_until_ms;
+        if has_lapsed {
+            life.ends.iter_mut().for_each(|end| end.has_lapsed = true);
+        }
         for (task, run) in &life.running {
             match now_ms >= run.began_ms + run.work_ms {
                 true => ended.push((task.clone(), run.number, "done")),
@@ -307,6 +318,7 @@
             task: task.to_owned(),
             run,
             how,
+            has_lapsed: false,
         });
         life.next_end += 1;
         self.note(task, run, how);
@@ -323,6 +335,7 @@
         if request.path == "/hemlockridge/hold" {
             let begun = Instant::now();
             let wait = Duration::from_millis(number("waitMs").min(2_000));
+            self.note_unknown_number(number("lastSeen"), target);
             // The lease is renewed when the call arrives.
             if let Err(refusal) = self.renew(&body) {
                 return refusal;
@@ -341,6 +354,19 @@
         }
     }
 
+    /// Records a call that names an end which this incarnation hasn't listed.
+    fn note_unknown_number(&self, seen: u64, target: Option<&str>) {
+        let life = self.life.borrow();
+        let last = life.as_ref().map_or(0, |life| life.next_end - 1);
+        if seen > last {
+            self.record.note(format!(
+                "minion {}: a hold with lastSeen {seen} arrives, while the last end is {last}; \
+                 X-Target-Instance is {target:?}",
+                self.index
+            ));
+        }
+    }
+
     fn has_end_after(&self, seen: u64) -> bool {
         let life = self.life.borrow();
         life.as_ref()
@@ -426,6 +452,20 @@
         let Some(life) = life.as_mut() else {
             return HttpResponse::json(503, &json!({}));
         };
+        let is_noted = |end: &&End| end.number <= seen && !end.has_lapsed && end.how == "done";
+        for end in life.ends.iter().filter(is_noted) {
+            self.record.note(format!(
+                "minion {}: end {} ({} of {} run {}) is taken note of, lastSeen is {seen}",
+                self.index, end.number, end.how, end.task, end.run
+            ));
+            self.events.borrow_mut().push(Event {
+                at_ms: self.record.now_ms(),
+                minion: self.index,
+                task: end.task.clone(),
+                run: end.run,
+                what: NOTED,
+            });
+        }
         life.ends.retain(|end| end.number > seen);
         let now_ms = life.clock_ms();
         let percent = |run: &Run| (now_ms - run.began_ms) * 100 / run.work_ms.max(1);
