--- a/review/standin-3/src/cases/cancelled_elsewhere.rs
+++ b/review/standin-3/src/cases/cancelled_elsewhere.rs
@@ -52,7 +52,12 @@
     let acked_at_ms = record.now_ms();
     tokio::time::sleep(Duration::from_millis(9_000)).await;
     let mut broken = false;
-    for event in deployment.events.borrow().iter().filter(|e| e.task.starts_with(ID)) {
+    for event in deployment
+        .events
+        .borrow()
+        .iter()
+        .filter(|e| e.task.starts_with(ID))
+    {
         let after_ms = event.at_ms.saturating_sub(acked_at_ms);
         let limit_ms = match event.what {
             "start" => CANCEL_MS,
--- a/review/standin-3/src/cases/crashed_minions.rs
+++ b/review/standin-3/src/cases/crashed_minions.rs
@@ -55,7 +55,12 @@
     for attempt in 0..30u8 {
         tokio::time::sleep(Duration::from_millis(500)).await;
         let answer = deployment.get(attempt % 3, &path).await;
-        let failed_ends = deployment.events.borrow().iter().filter(|e| e.what == "failed").count();
+        let failed_ends = deployment
+            .events
+            .borrow()
+            .iter()
+            .filter(|e| e.what == "failed")
+            .count();
         match answer.state() {
             "complete" => return Verdict::Held,
             "failed" | "canceled" => {
--- a/review/standin-3/src/cases/missing_label.rs
+++ b/review/standin-3/src/cases/missing_label.rs
@@ -30,12 +30,19 @@
     ];
     let blocked = job("work=0:900,1:60", false, &phases);
     let path = format!("{FIRST}{BLOCKED_ID}");
-    if !deployment.submit(0, &path, &blocked, 1_500).await.is_success() {
+    if !deployment
+        .submit(0, &path, &blocked, 1_500)
+        .await
+        .is_success()
+    {
         return Verdict::NotRun;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
     if trouble {
-        let labelled = deployment.minions.iter().filter(|m| m.kind.labels[0] == "b");
+        let labelled = deployment
+            .minions
+            .iter()
+            .filter(|m| m.kind.labels[0] == "b");
         labelled.for_each(|minion| minion.crash());
     }
     tokio::time::sleep(Duration::from_millis(1_500)).await;
@@ -46,12 +53,19 @@
         let later = job("work=0:200", false, &phases);
         let path = format!("{FIRST}{id}");
         let frontend = (number % 3) as u8;
-        if deployment.submit(frontend, &path, &later, 1_500).await.is_success() {
+        if deployment
+            .submit(frontend, &path, &later, 1_500)
+            .await
+            .is_success()
+        {
             accepted.push(id);
         }
         tokio::time::sleep(Duration::from_millis(250)).await;
     }
-    record.note(format!("end of the traffic; {} later jobs were accepted", accepted.len()));
+    record.note(format!(
+        "end of the traffic; {} later jobs were accepted",
+        accepted.len()
+    ));
     if accepted.is_empty() {
         return Verdict::NotRun;
     }
@@ -61,7 +75,9 @@
     record.note(format!("{running} tasks run on all minions"));
     let recent: BTreeSet<String> = {
         let events = deployment.events.borrow();
-        let recent = events.iter().filter(|event| event.at_ms + IDLE_MS >= now_ms);
+        let recent = events
+            .iter()
+            .filter(|event| event.at_ms + IDLE_MS >= now_ms);
         recent.map(|event| event.task[..16].to_owned()).collect()
     };
     let mut starved = 0;
--- a/review/standin-3/src/cases/queued_count.rs
+++ b/review/standin-3/src/cases/queued_count.rs
@@ -43,7 +43,11 @@
         let phases = [json!({"count": 1, "cpu": 6200, "memMb": 64, "estimateMs": 200})];
         let kept = job("work=0:200", false, &phases);
         let path = format!("{SECOND}{id}");
-        if deployment.submit((number % 3) as u8, &path, &kept, 1_500).await.is_success() {
+        if deployment
+            .submit((number % 3) as u8, &path, &kept, 1_500)
+            .await
+            .is_success()
+        {
             accepted.insert(id);
         }
     }
@@ -60,7 +64,10 @@
         let waiting = {
             let events = deployment.events.borrow();
             let begun: BTreeSet<&str> = events.iter().map(|event| &event.task[..16]).collect();
-            accepted.iter().filter(|id| !begun.contains(id.as_str())).count() as u64
+            accepted
+                .iter()
+                .filter(|id| !begun.contains(id.as_str()))
+                .count() as u64
         };
         let age_ms = record.now_ms() - accepted_at_ms;
         let count = answer.body["queuedCount"].as_u64();
--- a/review/standin-3/src/cases/returning_minion.rs
+++ b/review/standin-3/src/cases/returning_minion.rs
@@ -16,12 +16,17 @@
 
 pub(super) async fn play(deployment: &Deployment, trouble: bool) -> Verdict {
     let record = &deployment.record;
-    let labelled = deployment.minions.iter().find(|minion| minion.kind.labels[0] == "b");
+    let labelled = deployment
+        .minions
+        .iter()
+        .find(|minion| minion.kind.labels[0] == "b");
     let Some(minion) = labelled else {
         return Verdict::NotRun;
     };
-    let phases = [json!({"count": 4, "cpu": 6200, "memMb": 64, "estimateMs": WORK_MS,
-                         "constraints": "b"})];
+    let phases = [
+        json!({"count": 4, "cpu": 6200, "memMb": 64, "estimateMs": WORK_MS,
+                         "constraints": "b"}),
+    ];
     let body = job(&format!("work=0:{WORK_MS}"), false, &phases);
     for round in 0..ROUNDS {
         let path = format!("{FIRST}1{round:015x}");
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -43,9 +43,16 @@
     children: RefCell<Vec<Child>>,
 }
 
-fn free_port() -> std::io::Result<u16> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(listener.local_addr()?.port())
+/// Ports that are free now and differ from each other.
+fn free_ports() -> std::io::Result<[u16; 5]> {
+    let listen = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    // All stay open until the last one is chosen.
+    let listeners = [listen()?, listen()?, listen()?, listen()?, listen()?];
+    let mut ports = [0; 5];
+    for (port, listener) in ports.iter_mut().zip(&listeners) {
+        *port = listener.local_addr()?.port();
+    }
+    Ok(ports)
 }
 
 /// The repository's root, three folders above this program's build folder, or as told.
@@ -61,6 +68,7 @@
         kinds: Vec<Kind>,
     ) -> std::io::Result<Self> {
         let own = std::process::id();
+        let [internal, control, frontend, readiness, app] = free_ports()?;
         let mut deployment = Self {
             record: Rc::clone(record),
             minions: Vec::new(),
@@ -68,11 +76,11 @@
             folder: folder.to_owned(),
             subnet: (16 + (own % 200) as u8, (own / 200 % 250) as u8),
             ports: Ports {
-                internal: free_port()?,
-                control: free_port()?,
-                frontend: free_port()?,
-                readiness: free_port()?,
-                app: free_port()?,
+                internal,
+                control,
+                frontend,
+                readiness,
+                app,
             },
             children: RefCell::default(),
         };
@@ -223,8 +231,12 @@
             let mut served = 0;
             for index in 0..FRONTENDS {
                 let path = format!("{FIRST}f{attempt:014x}{index:x}");
-                let job = job("work=0:20", true, &[json!({"count": 1, "cpu": 1000, "memMb": 64,
-                                                          "estimateMs": 20})]);
+                let job = job(
+                    "work=0:20",
+                    true,
+                    &[json!({"count": 1, "cpu": 1000, "memMb": 64,
+                                                          "estimateMs": 20})],
+                );
                 let answer = self.submit(index, &path, &job, 1_500).await;
                 served += u8::from(answer.is_success());
             }
@@ -284,7 +296,13 @@
     }
 
     /// Submits a job at a frontend. `path` is the route's prefix and the job's id.
-    pub(crate) async fn submit(&self, frontend: u8, path: &str, job: &Value, wait_ms: u64) -> Answer {
+    pub(crate) async fn submit(
+        &self,
+        frontend: u8,
+        path: &str,
+        job: &Value,
+        wait_ms: u64,
+    ) -> Answer {
         self.call("POST", frontend, path, Some(job), wait_ms).await
     }
 
@@ -314,7 +332,11 @@
     pub(crate) fn ended(&self) -> usize {
         let mut children = self.children.borrow_mut();
         let ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
-        children.iter_mut().map(ended).filter(|ended| *ended).count()
+        children
+            .iter_mut()
+            .map(ended)
+            .filter(|ended| *ended)
+            .count()
     }
 }
 
@@ -325,7 +347,13 @@
 }
 
 impl Submitter {
-    pub(crate) async fn submit(&self, frontend: u8, path: &str, job: &Value, wait_ms: u64) -> Answer {
+    pub(crate) async fn submit(
+        &self,
+        frontend: u8,
+        path: &str,
+        job: &Value,
+        wait_ms: u64,
+    ) -> Answer {
         let call = Call {
             who: "client",
             method: "POST",
--- a/review/standin-3/src/minion.rs
+++ b/review/standin-3/src/minion.rs
@@ -56,7 +56,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Event {
     pub(crate) at_ms: u64,
-    pub(crate) minion: usize,
     pub(crate) task: String,
     pub(crate) run: u64,
     /// `start`, how the run ended, or [`NOTED`].
@@ -86,7 +85,7 @@
 }
 
 pub(crate) struct Minion {
-    pub(crate) index: usize,
+    index: usize,
     app: SocketAddr,
     control: SocketAddr,
     pub(crate) kind: Kind,
@@ -158,7 +157,6 @@
             .note(format!("minion {}: {what} {task} run {run}", self.index));
         self.events.borrow_mut().push(Event {
             at_ms: self.record.now_ms(),
-            minion: self.index,
             task: task.to_owned(),
             run,
             what,
@@ -188,8 +186,7 @@
             .note(format!("minion {}: up as {}", self.index, life.id));
         self.life.replace(Some(life));
         let living = Rc::clone(self).live(listener);
-        self.task
-            .replace(Some(tokio::task::spawn_local(living)));
+        self.task.replace(Some(tokio::task::spawn_local(living)));
         Ok(())
     }
 
@@ -206,13 +203,12 @@
         }
     }
 
-    pub(crate) fn is_up(&self) -> bool {
-        self.life.borrow().is_some()
-    }
-
     /// Whether the runner has acknowledged a heartbeat of this incarnation.
     pub(crate) fn is_confirmed(&self) -> bool {
-        self.life.borrow().as_ref().is_some_and(|life| life.is_confirmed)
+        self.life
+            .borrow()
+            .as_ref()
+            .is_some_and(|life| life.is_confirmed)
     }
 
     /// The tasks that run here.
@@ -400,7 +396,11 @@
         ) else {
             return HttpResponse::json(400, &json!({"clockMs": life.clock_ms()}));
         };
-        if life.running.get(task).is_some_and(|run| run.number == number) {
+        if life
+            .running
+            .get(task)
+            .is_some_and(|run| run.number == number)
+        {
             life.extend(deadline_ms);
             return accepted(life);
         }
@@ -460,7 +460,6 @@
             ));
             self.events.borrow_mut().push(Event {
                 at_ms: self.record.now_ms(),
-                minion: self.index,
                 task: end.task.clone(),
                 run: end.run,
                 what: NOTED,
@@ -497,7 +496,10 @@
 }
 
 fn accepted(life: &Life) -> HttpResponse {
-    HttpResponse::json(200, &json!({"clockMs": life.clock_ms(), "born": life.born_ms}))
+    HttpResponse::json(
+        200,
+        &json!({"clockMs": life.clock_ms(), "born": life.born_ms}),
+    )
 }
 
 fn refused(life: &Life, reason: &str) -> HttpResponse {
