--- a/review/standin-3/src/cases/cancelled_elsewhere.rs
+++ b/review/standin-3/src/cases/cancelled_elsewhere.rs
@@ -1,4 +1,5 @@
-//! A best-effort job that is cancelled through another frontend than the one it was handed in at.
+//! A best-effort job whose first connection breaks, so that it is sent again to another frontend, and
+//! which is then cancelled at the client's usual frontend.
 
 use std::time::Duration;
 
@@ -6,10 +7,21 @@
 
 use crate::Verdict;
 use crate::deployment::{Deployment, FIRST, job};
+use crate::minion::NOTED;
 
 const ID: &str = "5c0e7a21d94b36f8";
 /// Work of each of the tasks, which run one after the other.
 const WORK_MS: u64 = 2_500;
+/// The frontend to which the client's connections usually go.
+const HOME: u8 = 0;
+/// The frontend that the retry reaches.
+const OTHER: u8 = 1;
+/// How long the client waits for the job's end.
+const WAIT_MS: u64 = 12_000;
+/// Time after which the client's first connection breaks.
+const BREAK_AFTER_MS: u64 = 100;
+/// `retransmitMs`.
+const RETRANSMIT: Duration = Duration::from_millis(1_300);
 /// `cancel_ms`.
 const CANCEL_MS: u64 = 3_000;
 /// `stopTimeoutMs`.
@@ -27,10 +39,20 @@
         true,
         &[step(&[]), step(&[0]), step(&[1])],
     );
+    let first = deployment
+        .submit_and_break(HOME, &path, &body, WAIT_MS, BREAK_AFTER_MS)
+        .await;
+    if first.status != 0 {
+        record.note("the first attempt is answered".to_owned());
+        return Verdict::NotRun;
+    }
+    tokio::time::sleep(RETRANSMIT).await;
     let submitter = deployment.submitter();
     let submitted = {
         let path = path.clone();
-        tokio::task::spawn_local(async move { submitter.submit(0, &path, &body, 12_000).await })
+        tokio::task::spawn_local(
+            async move { submitter.submit(OTHER, &path, &body, WAIT_MS).await },
+        )
     };
     tokio::time::sleep(Duration::from_millis(700)).await;
     if deployment.minion_with(ID).is_none() {
@@ -44,7 +66,7 @@
             _ => Verdict::Broken,
         };
     }
-    let answer = deployment.cancel(1, &path).await;
+    let answer = deployment.cancel(HOME, &path).await;
     if !answer.is_success() && answer.status != 410 {
         record.note("the cancel isn't acknowledged".to_owned());
         return Verdict::NotRun;
@@ -60,6 +82,7 @@
     {
         let after_ms = event.at_ms.saturating_sub(acked_at_ms);
         let limit_ms = match event.what {
+            NOTED => continue,
             "start" => CANCEL_MS,
             _ => CANCEL_MS + STOP_MS,
         };
--- a/review/standin-3/src/client.rs
+++ b/review/standin-3/src/client.rs
@@ -41,8 +41,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) path: &'a str,
     pub(crate) body: Option<&'a Value>,
-    /// How long the sender waits for an answer.
+    /// How long the sender means to wait for an answer.
     pub(crate) wait_ms: u64,
+    /// When the connection breaks, if it does.
+    pub(crate) break_after_ms: Option<u64>,
 }
 
 pub(crate) async fn send(record: &Rc<Record>, call: Call<'_>) -> Answer {
@@ -53,6 +55,7 @@
         path,
         body,
         wait_ms,
+        break_after_ms,
     } = call;
     let text = body.map(Value::to_string).unwrap_or_default();
     let shown: String = text.chars().take(300).collect();
@@ -63,7 +66,8 @@
         text.len()
     );
     let exchange = exchange(address, request);
-    let answer = match timeout(Duration::from_millis(wait_ms), exchange).await {
+    let until_ms = break_after_ms.unwrap_or(wait_ms);
+    let answer = match timeout(Duration::from_millis(until_ms), exchange).await {
         Ok(Ok(Some(answer))) => answer,
         Ok(Ok(None) | Err(_)) | Err(_) => {
             record.note(format!("{who}: {method} {path} got no answer"));
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -261,6 +261,7 @@
                 path: "/hemlockridge/config",
                 body: Some(document),
                 wait_ms: 1_000,
+                break_after_ms: None,
             };
             let answer = send(&self.record, call).await;
             let next = answer.location.as_deref().filter(|_| answer.status == 307);
@@ -291,6 +292,7 @@
             path,
             body,
             wait_ms,
+            break_after_ms: None,
         };
         send(&self.record, call).await
     }
@@ -306,6 +308,27 @@
         self.call("POST", frontend, path, Some(job), wait_ms).await
     }
 
+    /// Submits a job over a connection that breaks before there is an answer.
+    pub(crate) async fn submit_and_break(
+        &self,
+        frontend: u8,
+        path: &str,
+        job: &Value,
+        wait_ms: u64,
+        break_after_ms: u64,
+    ) -> Answer {
+        let call = Call {
+            who: "client",
+            method: "POST",
+            address: self.frontend(frontend),
+            path,
+            body: Some(job),
+            wait_ms,
+            break_after_ms: Some(break_after_ms),
+        };
+        send(&self.record, call).await
+    }
+
     /// Submits jobs from a task of its own.
     pub(crate) fn submitter(&self) -> Submitter {
         Submitter {
@@ -361,6 +384,7 @@
             path,
             body: Some(job),
             wait_ms,
+            break_after_ms: None,
         };
         send(&self.record, call).await
     }
