--- a/review/standin-3/play.sh
+++ b/review/standin-3/play.sh
@@ -10,6 +10,8 @@
 [ -x "$player" ] || { echo "the stand-in isn't built: review/build-3.sh"; exit 2; }
 scratch=$(mktemp -d) || exit 2
 player_id=
+# The ids of the processes that the player starts.
+: > "$scratch/processes"
 
 # Whether a process is one of those that this script started.
 is_ours() {
@@ -17,12 +19,11 @@
 }
 
 finish() {
-  [ -n "$player_id" ] && kill -KILL "$player_id" 2>/dev/null
-  if [ -f "$scratch/processes" ]; then
-    while read -r id; do
-      is_ours "$id" && kill -KILL "$id" 2>/dev/null
-    done < "$scratch/processes"
-  fi
+  # The time limit passes the signal on to the player.
+  [ -n "$player_id" ] && kill -TERM "$player_id" 2>/dev/null && wait "$player_id" 2>/dev/null
+  while read -r id; do
+    is_ours "$id" && kill -KILL "$id" 2>/dev/null
+  done < "$scratch/processes"
   if [ -n "$KEEP_LOGS" ]; then echo "logs: $scratch"; else rm -rf "$scratch"; fi
 }
 trap finish EXIT
