--- a/review/standin-3/src/cases/queued_count.rs
+++ b/review/standin-3/src/cases/queued_count.rs
@@ -13,7 +13,7 @@
 const USUAL_LARGE_JOBS: u64 = 6;
 /// Those that come in a burst of 1.8 times the usual traffic.
 const BURST_LARGE_JOBS: u64 = 10;
-const LARGE_WORK_MS: u64 = 14_000;
+const LARGE_WORK_MS: u64 = 10_500;
 const KEPT_JOBS: u64 = 12;
 /// `visible_ms` and 2 s more.
 const COUNTED_AFTER_MS: u64 = 5_000;
