--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 folder=$(dirname "$0")
-exec "$folder/../standin-3/play.sh" crashed-minions "$folder"
+exec "$folder/../standin-3/play.sh" frozen-frontend "$folder"
--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -1,9 +1,6 @@
 //! The cases. Each plays one sequence of events and checks one rule.
 
-mod cancelled_elsewhere;
-mod crashed_minions;
-mod missing_label;
-mod queued_count;
+mod frozen_frontend;
 mod returning_minion;
 
 use std::path::PathBuf;
@@ -43,11 +40,8 @@
         return Verdict::NotRun;
     };
     let verdict = match case {
-        "cancelled-elsewhere" => cancelled_elsewhere::play(&deployment, trouble).await,
-        "missing-label" => missing_label::play(&deployment, trouble).await,
-        "queued-count" => queued_count::play(&deployment, trouble).await,
+        "frozen-frontend" => frozen_frontend::play(&deployment, trouble).await,
         "returning-minion" => returning_minion::play(&deployment, trouble).await,
-        "crashed-minions" => crashed_minions::play(&deployment, trouble).await,
         _ => Verdict::NotRun,
     };
     let ended = deployment.ended();
--- a/review/standin-3/src/client.rs
+++ b/review/standin-3/src/client.rs
@@ -27,11 +27,6 @@
     pub(crate) fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
-
-    /// The state of a job, as a client reads it.
-    pub(crate) fn state(&self) -> &str {
-        self.body["state"].as_str().unwrap_or("")
-    }
 }
 
 /// A request, and who sends it where.
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -40,7 +40,8 @@
     folder: PathBuf,
     subnet: (u8, u8),
     ports: Ports,
-    children: RefCell<Vec<Child>>,
+    /// The processes with the names of their machines.
+    children: RefCell<Vec<(String, Child)>>,
 }
 
 /// Ports that are free now and differ from each other.
@@ -197,7 +198,7 @@
             .append(true)
             .open(self.folder.join("processes"))?;
         writeln!(ids, "{}", child.id())?;
-        self.children.borrow_mut().push(child);
+        self.children.borrow_mut().push((name, child));
         Ok(())
     }
 
@@ -308,25 +309,17 @@
         self.call("POST", frontend, path, Some(job), wait_ms).await
     }
 
-    /// Submits a job over a connection that breaks before there is an answer.
-    pub(crate) async fn submit_and_break(
-        &self,
-        frontend: u8,
-        path: &str,
-        job: &Value,
-        wait_ms: u64,
-        break_after_ms: u64,
-    ) -> Answer {
-        let call = Call {
-            who: "client",
-            method: "POST",
-            address: self.frontend(frontend),
-            path,
-            body: Some(job),
-            wait_ms,
-            break_after_ms: Some(break_after_ms),
+    /// Sends a signal to a machine's process.
+    pub(crate) fn signal(&self, role: &str, index: u8, signal: &str) -> bool {
+        let name = format!("{role}-{index}");
+        let children = self.children.borrow();
+        let Some((_, child)) = children.iter().find(|(other, _)| *other == name) else {
+            return false;
         };
-        send(&self.record, call).await
+        self.record.note(format!("{name} gets SIG{signal}"));
+        let command = format!("kill -{signal} {}", child.id());
+        let status = Command::new("sh").arg("-c").arg(command).status();
+        status.is_ok_and(|status| status.success())
     }
 
     /// Submits jobs from a task of its own.
@@ -337,14 +330,6 @@
         }
     }
 
-    pub(crate) async fn get(&self, frontend: u8, path: &str) -> Answer {
-        self.call("GET", frontend, path, None, 1_500).await
-    }
-
-    pub(crate) async fn cancel(&self, frontend: u8, path: &str) -> Answer {
-        self.call("DELETE", frontend, path, None, 1_500).await
-    }
-
     /// The minion that runs a task of the job, if one does.
     pub(crate) fn minion_with(&self, id: &str) -> Option<Rc<Minion>> {
         let runs = |minion: &&Rc<Minion>| minion.running().iter().any(|task| task.starts_with(id));
@@ -354,7 +339,7 @@
     /// Ids of the processes that have ended by themselves.
     pub(crate) fn ended(&self) -> usize {
         let mut children = self.children.borrow_mut();
-        let ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
+        let ended = |(_, child): &mut (String, Child)| matches!(child.try_wait(), Ok(Some(_)));
         children
             .iter_mut()
             .map(ended)
@@ -370,6 +355,27 @@
 }
 
 impl Submitter {
+    /// Submits a job over a connection that breaks before there is an answer.
+    pub(crate) async fn submit_and_break(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        job: &Value,
+        wait_ms: u64,
+        break_after_ms: u64,
+    ) -> Answer {
+        let call = Call {
+            who: "client",
+            method: "POST",
+            address,
+            path,
+            body: Some(job),
+            wait_ms,
+            break_after_ms: Some(break_after_ms),
+        };
+        send(&self.record, call).await
+    }
+
     pub(crate) async fn submit(
         &self,
         frontend: u8,
@@ -392,7 +398,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        for child in self.children.borrow_mut().iter_mut() {
+        for (_, child) in self.children.borrow_mut().iter_mut() {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -10,6 +10,7 @@
 mod client;
 mod deployment;
 mod minion;
+mod proxy;
 mod record;
 
 use std::path::PathBuf;
--- a/review/standin-3/src/minion.rs
+++ b/review/standin-3/src/minion.rs
@@ -56,6 +56,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Event {
     pub(crate) at_ms: u64,
+    pub(crate) minion: usize,
     pub(crate) task: String,
     pub(crate) run: u64,
     /// `start`, how the run ended, or [`NOTED`].
@@ -157,6 +158,7 @@
             .note(format!("minion {}: {what} {task} run {run}", self.index));
         self.events.borrow_mut().push(Event {
             at_ms: self.record.now_ms(),
+            minion: self.index,
             task: task.to_owned(),
             run,
             what,
@@ -460,6 +462,7 @@
             ));
             self.events.borrow_mut().push(Event {
                 at_ms: self.record.now_ms(),
+                minion: self.index,
                 task: end.task.clone(),
                 run: end.run,
                 what: NOTED,
