Gateways know how old a request may be and when callers submit again

No change of behaviour. `HttpRequest::sent_after` is the earliest time at which the client may have sent a request: the accept of its connection or the response before it.

--- a/crates/hemlock_http/src/connection.rs
+++ b/crates/hemlock_http/src/connection.rs
@@ -16,7 +16,7 @@
 use crate::config::HttpServerConfig;
 use crate::error::Refusal;
 use crate::head::{Head, head_length, parse_head};
-use crate::request::HttpRequest;
+use crate::request::{HttpRequest, SentAfter};
 use crate::responder::Responder;
 use crate::response::HttpResponse;
 use crate::server::HttpHandler;
@@ -104,6 +104,7 @@
         state,
         stop,
         buffer: BytesMut::new(),
+        sent_after: SentAfter::now(),
     };
     match connection.serve().await {
         Err(CloseReason::Refused(refusal)) => connection.refuse(refusal).await,
@@ -117,6 +118,8 @@
     state: Arc<ServerState>,
     stop: watch::Receiver<bool>,
     buffer: BytesMut,
+    /// The earliest time at which the next request may have been sent.
+    sent_after: SentAfter,
 }
 
 impl Connection {
@@ -142,6 +145,10 @@
             if !keep_alive {
                 return Ok(());
             }
+            // A pipelined request may be as old as the one before it.
+            if self.buffer.is_empty() {
+                self.sent_after = SentAfter::now();
+            }
         }
     }
 
@@ -249,6 +256,7 @@
             headers: head.headers,
             body,
             peer: self.peer,
+            sent_after: self.sent_after,
         };
         let (responder, mut response_receiver) = Responder::new();
         self.state.handler.handle(request, responder);
--- a/crates/hemlock_http/src/lib.rs
+++ b/crates/hemlock_http/src/lib.rs
@@ -46,7 +46,7 @@
     pub use crate::client::{HttpCall, HttpClient, HttpClientConfig, HttpReply};
     pub use crate::config::HttpServerConfig;
     pub use crate::error::{HttpClientError, HttpError};
-    pub use crate::request::{Headers, HttpRequest};
+    pub use crate::request::{Headers, HttpRequest, SentAfter};
     pub use crate::responder::Responder;
     pub use crate::response::HttpResponse;
     pub use crate::server::{HttpHandler, HttpServer, serve_on};
--- a/crates/hemlock_http/src/request.rs
+++ b/crates/hemlock_http/src/request.rs
@@ -1,8 +1,10 @@
 //! Requests as the server passes them to its handler.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
+use rustix::time::{ClockId, clock_gettime};
 use tiny_http::Method;
 
 /// The headers of a request, in the order in which they were received.
@@ -37,6 +39,35 @@
     }
 }
 
+/// The earliest time at which a request may have been sent: when its connection was accepted, or
+/// when the response before it was written.
+///
+/// A request may be on its way for long, because the network repeats what a machine that stands
+/// still doesn't acknowledge.
+#[derive(Clone, Copy, Debug)]
+pub struct SentAfter {
+    since_boot: Duration,
+}
+
+impl SentAfter {
+    pub(crate) fn now() -> Self {
+        let since_boot = since_boot();
+        Self { since_boot }
+    }
+
+    /// Time that has passed since, including the time for which the machine was suspended.
+    pub fn elapsed(&self) -> Duration {
+        since_boot().saturating_sub(self.since_boot)
+    }
+}
+
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
+
 /// A complete request within the server's limits.
 #[derive(Clone, Debug)]
 pub struct HttpRequest {
@@ -52,6 +83,8 @@
     pub body: Bytes,
     /// Address of the client.
     pub peer: SocketAddr,
+    /// The earliest time at which the client may have sent the request.
+    pub sent_after: SentAfter,
 }
 
 impl HttpRequest {
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -42,6 +42,9 @@
     /// Ratio of a task's duration on another rack than the one that it prefers to that on the
     /// preferred one; 1 if unknown.
     pub remote_factor: f64,
+    /// Shortest time after which a caller whose connection broke submits its job again, in
+    /// milliseconds.
+    pub resubmit_ms: u64,
 }
 
 /// A job that a caller submits.
@@ -54,6 +57,8 @@
     pub spec: JobSpec,
     /// Time by which the job must be answered.
     pub answer_deadline: Instant,
+    /// Earliest time at which the caller may have sent the request.
+    pub sent_after: Instant,
 }
 
 /// The caller that waits for a job.
@@ -134,6 +139,7 @@
             queue,
             spec,
             answer_deadline,
+            ..
         } = submission;
         let known = self.store.job(id).map(JobRecord::outcome);
         match known {
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -101,11 +101,13 @@
         self.engine.borrow().open_jobs()
     }
 
-    /// Serves the request of a caller that waits for `time_left`.
+    /// Serves the request of a caller that waits for `time_left`. The caller may have sent it up to
+    /// `max_age` ago.
     pub async fn call(
         self: &Rc<Self>,
         request: CallerRequest,
         time_left: DurationMs,
+        max_age: DurationMs,
     ) -> CallerAnswer {
         let configuration = self.configuration.borrow().clone();
         let Some(configuration) = configuration else {
@@ -120,7 +122,7 @@
         match (&request.action, found.rest.parse::<JobId>()) {
             (CallerAction::Submit(spec), Ok(id)) if spec.best_effort => {
                 let spec = spec.clone();
-                self.serve_best_effort(id, found.queue, spec, time_left)
+                self.serve_best_effort(id, found.queue, spec, time_left, max_age)
                     .await
             }
             (CallerAction::Cancel, Ok(id)) if self.abandon(id) => CallerAnswer::Canceled,
@@ -146,6 +148,7 @@
         queue: &Queue,
         spec: JobSpec,
         time_left: DurationMs,
+        max_age: DurationMs,
     ) -> CallerAnswer {
         let now = self.clock.now();
         let usable_ms = time_left.as_ms().saturating_sub(ANSWER_MARGIN.as_ms());
@@ -155,6 +158,7 @@
             queue,
             spec,
             answer_deadline,
+            sent_after: now.before(max_age),
         };
         let submitted = self.engine.borrow_mut().submit(now, submission);
         self.run_engine();
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -143,6 +143,7 @@
         let settings = EngineSettings {
             lease_ms: 1_000,
             remote_factor: 1.0,
+            resubmit_ms: 1_300,
         };
         let mut engine = Engine::new(now, settings);
         engine.configure(&Configuration {
@@ -194,6 +195,7 @@
             queue: &queue(queue_name),
             spec: JobSpec::new(Bytes::from_static(b"work"), vec![step]),
             answer_deadline: self.now + DurationMs::new(1_500),
+            sent_after: self.now,
         };
         self.engine.submit(self.now, submission)
     }
--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -153,6 +153,7 @@
         engine: EngineSettings {
             lease_ms: 1_000,
             remote_factor: 1.0,
+            resubmit_ms: 1_300,
         },
         max_runners,
     });
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -96,6 +96,7 @@
             let settings = EngineSettings {
                 lease_ms: LEASE_MS,
                 remote_factor: self.deployment.remote_factor,
+                resubmit_ms: 1_300,
             };
             let mut engine = Engine::new(now, settings);
             engine.configure(&Configuration {
--- a/crates/hemlock_nodes/tests/replay/mod.rs
+++ b/crates/hemlock_nodes/tests/replay/mod.rs
@@ -234,6 +234,7 @@
             queue: &kind.queue,
             spec: arrival.spec.clone(),
             answer_deadline: Instant::from_micros(deadline_us),
+            sent_after: Instant::from_micros(self.now_us),
         };
         let now = Instant::from_micros(self.now_us);
         let state = &mut self.gateways[gateway];
--- a/crates/hemlock_types/src/time.rs
+++ b/crates/hemlock_types/src/time.rs
@@ -83,6 +83,15 @@
         DurationMs(self.micros.saturating_sub(earlier.micros) / MICROS_PER_MS)
     }
 
+    /// The point `duration` earlier, but not before the origin.
+    pub fn before(self, duration: DurationMs) -> Self {
+        Self {
+            micros: self
+                .micros
+                .saturating_sub(duration.0.saturating_mul(MICROS_PER_MS)),
+        }
+    }
+
     /// Microseconds from `earlier` to this point; zero if `earlier` is later.
     pub fn micros_since(self, earlier: Self) -> u64 {
         self.micros.saturating_sub(earlier.micros)
