Give up best-effort jobs whose callers may have left unseen

Cause: a gateway takes a job's open connection for proof that its caller waits. While it stands still or is cut off it doesn't see the connection close, and TCP repeats the close at growing intervals, so it arrives up to as long again after the wake. Every path that starts a task then acted on the belief: ends in updates that had waited, refused starts, claims that the runners answer with a lapse, expired sessions, tasks that waited for capacity, and requests read late.

Change: the engine notices a stall of 300 ms from the times at which it steps, and a cut of 600 ms from those at which runners and callers are heard, before it places anything. No caller is elsewhere sooner than the resubmission time after the last sign of it. Jobs that are expected to end before that go on, with this as their deadline; all others are held and given up 150 ms later, so that results that were ready still count. A request that may have been sent in the interruption on an older connection is rejected as not run. A late success counts if its task hasn't been started again, also when the session has lapsed.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -16,6 +16,9 @@
 impl Dispatcher {
     /// Processes the end of a run that an agent has reported in its session. Returns `None` if the
     /// session is void, so that the end may not be confirmed.
+    ///
+    /// A success counts in a void session too if ends needn't be recorded and the task hasn't been
+    /// started since: a dispatcher that stood still receives it after the run's lease has lapsed.
     pub fn report_end(
         &mut self,
         now: Instant,
@@ -24,7 +27,11 @@
         report: RunReport,
     ) -> Option<EndAction> {
         self.advance(now);
-        self.agent_in_session(id, session)?;
+        if self.agent_in_session(id, session).is_none() {
+            let is_success = report.end == Some(RunEnd::Done) && !self.settings.records_ends;
+            return (is_success && self.awaits_restart_after(report.task, report.run))
+                .then(|| self.run_ended(id, report, false));
+        }
         Some(self.run_ended(id, report, false))
     }
 
@@ -67,7 +74,7 @@
                 return EndAction::Record(TaskEnd::Failed);
             }
             // The run was taken for lost, and the task has not been started again.
-            (Some(TaskState::Waiting), RunEnd::Done) if self.last_run(task) == Some(number) => {
+            (Some(_), RunEnd::Done) if self.awaits_restart_after(task, number) => {
                 let action = self.begin_recording(task, number, TaskEnd::Done);
                 self.rerank(task.job);
                 return action;
@@ -121,6 +128,11 @@
         job.task(task).map(|task| task.last_run)
     }
 
+    /// Whether the task waits for its next run after this one.
+    fn awaits_restart_after(&mut self, task: TaskKey, run: RunNumber) -> bool {
+        self.task_state(task) == Some(TaskState::Waiting) && self.last_run(task) == Some(run)
+    }
+
     fn begin_recording(&mut self, task: TaskKey, run: RunNumber, end: TaskEnd) -> EndAction {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.set_state(task, TaskState::Ending(run));
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -237,6 +237,7 @@
             due: accepted_at + objective,
             expires_at: accepted_at + DurationMs::new(expires_after_ms as u64),
             caller_deadline: None,
+            is_held: false,
             rank: None,
         };
         self.jobs.insert(id, job);
@@ -299,6 +300,20 @@
         self.rerank(id);
     }
 
+    /// Sets whether no further task of a job may be started. Its runs continue.
+    pub fn set_held(&mut self, id: JobId, is_held: bool) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.is_held = is_held;
+        }
+        self.rerank(id);
+    }
+
+    /// Time that the unfinished tasks of an open job take at least, by the caller's estimates.
+    pub fn remaining_work(&self, id: JobId) -> Option<DurationMs> {
+        let job = self.jobs.get(&id)?;
+        Some(DurationMs::new(job.remaining_critical_path_ms()))
+    }
+
     /// Jobs with tasks to start whose result is of no use any more.
     pub fn expired_jobs(&self) -> Vec<JobId> {
         let by_descending_rank = self.ready.iter().rev();
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -102,6 +102,8 @@
     pub(crate) expires_at: Instant,
     /// When the caller stops waiting for the result; `None` if no caller is known to wait.
     pub(crate) caller_deadline: Option<Instant>,
+    /// Whether no further task may be started.
+    pub(crate) is_held: bool,
     /// Whether the start of a task has been ordered.
     pub(crate) started: bool,
     /// Whether a task of the job has run, or may have.
@@ -116,7 +118,8 @@
         self.steps
             .iter()
             .enumerate()
-            .filter(|(_, step)| !step.waiting.is_empty() && self.is_unblocked(step))
+            .filter(|(_, step)| !self.is_held && !step.waiting.is_empty())
+            .filter(|(_, step)| self.is_unblocked(step))
             .flat_map(|(position, step)| {
                 let position = u16::try_from(position).unwrap_or(u16::MAX);
                 step.waiting.iter().map(move |index| (position, *index))
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -1,5 +1,7 @@
 //! The gateway's best-effort jobs: a job store that is not replicated, with a dispatcher.
 
+mod interrupted;
+
 use std::collections::{BTreeSet, HashMap};
 
 use hemlock_dispatch::prelude::*;
@@ -8,6 +10,8 @@
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
+use self::interrupted::reject_outdated;
+use super::interruptions::InterruptionMonitor;
 use crate::confinement::log_confinement_changes;
 use crate::message::{CallerAnswer, Rejection, Report, RunnerUpdate};
 
@@ -66,6 +70,8 @@
     answer: oneshot::Sender<CallerAnswer>,
     answer_deadline: Instant,
     submitted_at: Instant,
+    /// Whether the caller may have left unnoticed, in an interruption.
+    is_unconfirmed: bool,
 }
 
 /// Best-effort jobs with their dispatcher and waiting callers.
@@ -74,6 +80,9 @@
     dispatcher: Dispatcher,
     waiters: HashMap<JobId, Waiter>,
     answer_deadlines: BTreeSet<(Instant, JobId)>,
+    interruptions: InterruptionMonitor,
+    /// Time after the last sign of a caller from which it may have submitted its job elsewhere.
+    resubmit_after: DurationMs,
 }
 
 impl Engine {
@@ -95,6 +104,8 @@
             dispatcher,
             waiters: HashMap::new(),
             answer_deadlines: BTreeSet::new(),
+            interruptions: InterruptionMonitor::new(now),
+            resubmit_after: DurationMs::new(engine_settings.resubmit_ms),
         }
     }
 
@@ -139,8 +150,11 @@
             queue,
             spec,
             answer_deadline,
-            ..
+            sent_after,
         } = submission;
+        self.note_active(now);
+        self.note_caller_contact(now);
+        let is_outdated = self.interruptions.may_be_outdated(now, sent_after);
         let known = self.store.job(id).map(JobRecord::outcome);
         match known {
             Some(Some(outcome)) => {
@@ -148,7 +162,8 @@
                 return Err(CallerAnswer::Finished(outcome));
             }
             // The job is submitted again while it is open: only the newest request is answered.
-            Some(None) => return Ok(self.wait_for(now, id, answer_deadline)),
+            Some(None) => return Ok(self.join(now, id, answer_deadline, is_outdated)),
+            None if is_outdated => return Err(reject_outdated(id, queue)),
             None => {}
         }
         if self.dispatcher.is_crashing(now, id) {
@@ -204,6 +219,7 @@
                 answer,
                 answer_deadline,
                 submitted_at,
+                is_unconfirmed: false,
             },
         );
         self.answer_deadlines.insert((answer_deadline, id));
@@ -252,33 +268,40 @@
 
     /// Gives up the jobs that can't finish in time, and returns the orders that are due.
     pub fn step(&mut self, now: Instant) -> Vec<Order> {
+        self.note_active(now);
         self.answer_withdrawn(now);
+        // A job whose caller may have submitted it elsewhere must not be started, so these are given
+        // up before anything is placed.
+        self.give_up_overdue(now);
         let orders = self.dispatcher.poll(now);
         log_confinement_changes(self.dispatcher.take_confinement_changes());
         let expired = self.dispatcher.expired_jobs();
-        if expired.is_empty()
-            && self
-                .answer_deadlines
-                .first()
-                .is_none_or(|(at, _)| *at > now)
-        {
+        if expired.is_empty() {
             return orders;
         }
         for id in expired {
             self.give_up(now, id, "hopeless");
         }
+        orders
+            .into_iter()
+            .chain(self.dispatcher.poll(now))
+            .collect()
+    }
+
+    fn give_up_overdue(&mut self, now: Instant) {
         while let Some((_, id)) = self
             .answer_deadlines
             .first()
             .copied()
             .filter(|(at, _)| *at <= now)
         {
-            self.give_up(now, id, "deadline");
+            let waiter = self.waiters.get(&id);
+            let cause = match waiter.is_some_and(|waiter| waiter.is_unconfirmed) {
+                true => "caller-unconfirmed",
+                false => "deadline",
+            };
+            self.give_up(now, id, cause);
         }
-        orders
-            .into_iter()
-            .chain(self.dispatcher.poll(now))
-            .collect()
     }
 
     /// Withdraws a job that won't finish. Its caller is answered once it is known whether any task
@@ -341,6 +364,7 @@
         inventory: &Inventory,
         load_report: LoadReport,
     ) -> Vec<StopOrder> {
+        self.note_runner_contact(now);
         let Some(adoption) = self.dispatcher.adopt(now, agent, session, inventory) else {
             return Vec::new();
         };
@@ -384,6 +408,7 @@
 
     /// Handles an update pushed by a runner.
     pub fn handle_update(&mut self, now: Instant, update: RunnerUpdate) {
+        self.note_runner_contact(now);
         let (agent, session) = (update.agent, update.session);
         self.handle_report(now, agent, session, &update.report);
         if let Some(changed) = update.instance {
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! coordinator. A gateway has no durable state, so any gateway may be lost at any time.
 
 pub mod engine;
+mod interruptions;
 mod leader;
 mod runners;
 mod service;
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -242,6 +242,7 @@
                 Err(_) => return "silent",
             };
             let mut engine = self.engine.borrow_mut();
+            engine.note_runner_contact(self.clock.now());
             if !engine.confirm_session(sent_at, agent, session, Some(load_report)) {
                 return "expired";
             }
@@ -297,6 +298,7 @@
                 current.last_order_sent.set(sent_at);
                 let changed = {
                     let mut engine = self.engine.borrow_mut();
+                    engine.note_runner_contact(now);
                     engine.confirm_session(sent_at, agent, session, Some(load_report));
                     engine.handle_report(now, agent, session, &report);
                     !report.refused.is_empty()
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -99,6 +99,8 @@
     NoConfiguration,
     /// No leader could be reached in time.
     NoLeader,
+    /// The gateway was interrupted, and the caller may have submitted the job elsewhere meanwhile.
+    Interrupted,
 }
 
 /// A change of the evacuated failure domains that an operator requests.
