Repeat refused starts at a bounded rate

Cause: a refused start makes its task wait, and the placement that follows at once chooses the same instance. Any lasting refusal does the same, "session" until the next ping, or "no-instance".

Change: after three refusals in a row a task waits 10 ms, then twice as long each time, up to 160 ms. Any end of a run resets that. The first two are repeated at once, because they often mean only that another instance has to be chosen.

takeover.rs: a_later_leader_uses_higher_numbers_however_often_starts_were_refused needs more than 1,000 refusals and assumed one each 10 ms. It now passes ten times as much time, with the same assertions.

--- a/crates/hemlock_dispatch/src/dispatcher/ends.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/ends.rs
@@ -86,6 +86,7 @@
             }
             _ => return EndAction::Confirm,
         }
+        self.forget_refusals(task);
         if let Some(run) = run {
             self.update_health(id, end, report.took_ms, &run);
         }
@@ -231,7 +232,11 @@
             RefusalReason::Outdated => self.skip_run_numbers(task),
         }
         self.withdrawals.note_refused(task, number);
+        let is_current = self.task_state(task) == Some(TaskState::Running(id, number));
         self.run_over(id, task, number);
+        if is_current {
+            self.delay_restart(task);
+        }
     }
 
     /// Records that a task has run, or may have.
--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod ends;
 mod place;
+mod refusals;
 mod scarcity;
 mod sessions;
 mod takeover;
@@ -30,6 +31,7 @@
 use crate::ranking::{Rank, Timeliness, assess_timeliness};
 use crate::settings::DispatchSettings;
 use admission::AdmissionHistory;
+use refusals::DelayedTasks;
 use withdrawal::Withdrawals;
 
 /// How long the highest run number of a removed job is remembered.
@@ -88,6 +90,8 @@
     /// The highest run numbers of removed jobs, oldest first, because a job may be submitted again.
     dropped_runs: VecDeque<(Instant, JobId, RunNumber)>,
     withdrawals: Withdrawals,
+    /// Tasks whose starts were refused several times.
+    delayed_tasks: DelayedTasks,
     /// Queues whose tasks crash instances.
     containment: Containment,
     /// Changes of the confined queues that are still to be logged.
@@ -122,6 +126,7 @@
             next_scan: now,
             dropped_runs: VecDeque::new(),
             withdrawals: Withdrawals::default(),
+            delayed_tasks: DelayedTasks::new(),
             containment: Containment::default(),
             confinement_changes: Vec::new(),
             usual_outage_ms: INITIAL_OUTAGE_MS,
@@ -212,6 +217,7 @@
                 unproven_success: None,
                 avoid_agent: None,
                 instance_failures: 0,
+                refusals: 0,
                 strong_crashes: 0,
             };
             let tasks: Vec<Task> = progress.iter().map(task).collect();
--- a/crates/hemlock_dispatch/src/dispatcher/place.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/place.rs
@@ -239,7 +239,8 @@
     pub fn next_deadline(&self) -> Instant {
         let change = self.rank_changes.first().map(|(at, _)| *at);
         let takeover = self.takeover_until;
-        let times = [change, takeover, Some(self.next_scan)];
+        let delay = self.delayed_tasks.first().map(|(at, _)| *at);
+        let times = [change, takeover, delay, Some(self.next_scan)];
         times.into_iter().flatten().min().unwrap_or(self.next_scan)
     }
 }
--- a/crates/hemlock_dispatch/src/dispatcher/tick.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/tick.rs
@@ -12,6 +12,7 @@
     /// Advances the dispatcher's clock and applies what became due.
     pub(super) fn advance(&mut self, now: Instant) {
         self.now = self.now.max(now);
+        self.end_delays();
         self.update_ranks();
         self.end_takeover_if_done();
         if self.now >= self.next_scan {
--- a/crates/hemlock_dispatch/src/job.rs
+++ b/crates/hemlock_dispatch/src/job.rs
@@ -42,6 +42,8 @@
     /// Number of runs that failed or stalled, or whose start the instance refused as unhealthy or
     /// left unanswered.
     pub(crate) instance_failures: u32,
+    /// Number of starts that were refused since the last run.
+    pub(crate) refusals: u32,
     /// Number of crashes of its instances under strong suspicion.
     pub(crate) strong_crashes: u32,
 }
@@ -51,7 +53,7 @@
 pub(crate) struct Step {
     pub(crate) spec: StepSpec,
     pub(crate) tasks: Vec<Task>,
-    /// Indices of the tasks that wait to be started.
+    /// Indices of the tasks that wait to be started, but for those whose restart is delayed.
     pub(crate) waiting: BTreeSet<u16>,
     /// Number of tasks that are done.
     pub(crate) done: usize,
@@ -180,6 +182,17 @@
         }
     }
 
+    /// Sets whether a waiting task may be started.
+    pub(crate) fn set_startable(&mut self, key: TaskKey, is_startable: bool) {
+        let Some(step) = self.steps.get_mut(usize::from(key.step)) else {
+            return;
+        };
+        match is_startable {
+            true => step.waiting.insert(key.index),
+            false => step.waiting.remove(&key.index),
+        };
+    }
+
     /// Length of the critical path through the unfinished steps, by the caller's estimates.
     pub(crate) fn remaining_critical_path_ms(&self) -> u64 {
         let own = |step: &Step| match step.is_done() {
--- a/crates/hemlock_dispatch/tests/takeover.rs
+++ b/crates/hemlock_dispatch/tests/takeover.rs
@@ -215,7 +215,7 @@
     store.apply(&Batch::new(0, vec![Command::Lead, acceptance]));
     let mut earlier = Fixture::with_store(store.clone(), 1);
     let mut highest = RunNumber::default();
-    for _ in 0..2_000 {
+    for _ in 0..20_000 {
         earlier.advance_ms(10);
         for (agent, start) in earlier.poll() {
             highest = start.run;
