A setting for processes behind a translation of addresses

Cause: a runner or coordinator listened at the very address that it announces, so nothing could stand between it and other processes: neither a translation of addresses, as operators have it, nor the proxy that a soak of the deployed program needs.

--- a/bins/hemlock/tests/evacuations.rs
+++ b/bins/hemlock/tests/evacuations.rs
@@ -19,6 +19,7 @@
     std::thread::spawn(move || {
         let coordinator = Coordinator::new(CoordinatorSettings {
             address,
+            listen_address: address,
             data_folder,
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(KEY),
--- a/crates/hemlock_nodes/src/coordinator/mod.rs
+++ b/crates/hemlock_nodes/src/coordinator/mod.rs
@@ -46,6 +46,9 @@
     /// Address on which it listens for other processes of the cluster. Its keeper id is derived
     /// from it.
     pub address: SocketAddr,
+    /// Address on which it listens, if others reach it at [`address`](Self::address) through a
+    /// translation of addresses; otherwise the same.
+    pub listen_address: SocketAddr,
     /// Folder of the replicated log and the snapshots.
     pub data_folder: PathBuf,
     /// Name of the cluster.
@@ -99,7 +102,7 @@
     pub async fn run(self) -> Result<(), CoordinatorError> {
         let settings = self.settings;
         let id = keeper_id(settings.address);
-        let listener = listen(settings.address)?;
+        let listener = listen(settings.listen_address)?;
         let identity = DiskIdentity::new(&settings.cluster, id, Incarnation(rand::random()));
         let mut storage = FileStorage::open(&settings.data_folder, identity, 0)?;
         let recovered = storage.recover()?;
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -44,8 +44,8 @@
 pub struct RunnerSettings {
     /// Identity that it presents to peers.
     pub identity: Identity,
-    /// Address on which it listens for gateways.
-    pub address: SocketAddr,
+    /// Address on which it listens for gateways, which connect to the one in its agent id.
+    pub listen_address: SocketAddr,
     /// Its agent id, which stays the same across restarts.
     pub agent: AgentId,
     /// Reads the addresses of possible keepers from the current settings.
@@ -59,7 +59,7 @@
 /// Runs tasks on one instance.
 pub struct Runner {
     agent: AgentId,
-    address: SocketAddr,
+    listen_address: SocketAddr,
     identity: Rc<Identity>,
     service: Rc<RunnerService>,
     connector: Connector,
@@ -92,7 +92,7 @@
             let as_service: Rc<dyn Service> = Rc::clone(&service) as Rc<dyn Service>;
             Self {
                 agent: settings.agent,
-                address: settings.address,
+                listen_address: settings.listen_address,
                 identity: Rc::clone(&identity),
                 service,
                 connector: Connector::new(identity, as_service, settings.seeds),
@@ -132,7 +132,7 @@
     }
 
     fn bind(&self) -> Result<TcpListener, std::io::Error> {
-        let listener = StdListener::bind(self.address)?;
+        let listener = StdListener::bind(self.listen_address)?;
         listener.set_nonblocking(true)?;
         TcpListener::from_std(listener)
     }
--- a/crates/hemlock_nodes/tests/evacuations.rs
+++ b/crates/hemlock_nodes/tests/evacuations.rs
@@ -44,6 +44,7 @@
     ) -> Self {
         let coordinator = Coordinator::new(CoordinatorSettings {
             address,
+            listen_address: address,
             data_folder: PathBuf::from(folder),
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(KEY),
--- a/crates/hemlock_nodes/tests/heartbeat_confirmation.rs
+++ b/crates/hemlock_nodes/tests/heartbeat_confirmation.rs
@@ -107,7 +107,7 @@
     };
     let settings = RunnerSettings {
         identity,
-        address: "127.0.0.1:1".parse().expect("an address"),
+        listen_address: "127.0.0.1:1".parse().expect("an address"),
         agent: AgentId(1),
         seeds: Rc::new(Vec::new),
         runs: RunsSettings::default(),
