--- a/bins/hemlock/tests/evacuations.rs
+++ b/bins/hemlock/tests/evacuations.rs
@@ -20,6 +20,7 @@
         let coordinator = Coordinator::new(CoordinatorSettings {
             address,
             listen_address: address,
+            source_ip: None,
             data_folder,
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(KEY),
--- a/crates/hemlock_agent/src/agent.rs
+++ b/crates/hemlock_agent/src/agent.rs
@@ -121,6 +121,7 @@
         id: 0,
         cluster: settings.cluster.clone(),
         key: ClusterKey::new(settings.cluster_key.expose()),
+        source_ip: None,
     }
 }
 
--- a/crates/hemlock_agent/tests/common/mod.rs
+++ b/crates/hemlock_agent/tests/common/mod.rs
@@ -63,6 +63,7 @@
         id: 0,
         cluster: "test".to_owned(),
         key: ClusterKey::new(SECRET),
+        source_ip: None,
     }
 }
 
--- a/crates/hemlock_entry/src/entry.rs
+++ b/crates/hemlock_entry/src/entry.rs
@@ -52,6 +52,7 @@
             id: 0,
             cluster: settings.cluster.clone(),
             key: ClusterKey::new(settings.cluster_key.expose()),
+            source_ip: None,
         };
         let lanes = Lanes::start(settings.lanes, &identity, &inbox)?;
         let session = Session::start(settings.domain, settings.keepers, identity, &inbox)?;
--- a/crates/hemlock_keeper/src/shell/start.rs
+++ b/crates/hemlock_keeper/src/shell/start.rs
@@ -156,6 +156,7 @@
         id: settings.keeper_id,
         cluster: settings.cluster.clone(),
         key: ClusterKey::new(settings.cluster_key.expose()),
+        source_ip: None,
     }
 }
 
--- a/crates/hemlock_keeper/tests/common/mod.rs
+++ b/crates/hemlock_keeper/tests/common/mod.rs
@@ -215,6 +215,7 @@
             id: 0,
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(CLUSTER_KEY),
+            source_ip: None,
         };
         Self {
             runtime,
--- a/crates/hemlock_nodes/src/coordinator/mod.rs
+++ b/crates/hemlock_nodes/src/coordinator/mod.rs
@@ -17,7 +17,7 @@
 pub use handle::{ConfigureAnswer, CoordinatorHandle, ReadAnswer};
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::{IpAddr, SocketAddr, TcpListener as StdListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -49,6 +49,8 @@
     /// Address on which it listens, if others reach it at [`address`](Self::address) through a
     /// translation of addresses; otherwise the same.
     pub listen_address: SocketAddr,
+    /// Address from which it connects to others; `None` leaves the choice to the system.
+    pub source_ip: Option<IpAddr>,
     /// Folder of the replicated log and the snapshots.
     pub data_folder: PathBuf,
     /// Name of the cluster.
@@ -120,6 +122,7 @@
             id: id.0,
             cluster: settings.cluster.clone(),
             key: settings.key.clone(),
+            source_ip: settings.source_ip,
         });
         let as_service: Rc<dyn Service> = Rc::clone(&service) as Rc<dyn Service>;
         let peers = Peers::new(Rc::clone(&identity), Rc::clone(&as_service));
--- a/crates/hemlock_nodes/src/operator.rs
+++ b/crates/hemlock_nodes/src/operator.rs
@@ -83,6 +83,7 @@
                 id: 0,
                 cluster: cluster.to_owned(),
                 key,
+                source_ip: None,
             }),
             coordinators,
         }
--- a/crates/hemlock_nodes/tests/evacuations.rs
+++ b/crates/hemlock_nodes/tests/evacuations.rs
@@ -45,6 +45,7 @@
         let coordinator = Coordinator::new(CoordinatorSettings {
             address,
             listen_address: address,
+            source_ip: None,
             data_folder: PathBuf::from(folder),
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(KEY),
@@ -98,6 +99,7 @@
             id: 0,
             cluster: CLUSTER.to_owned(),
             key: ClusterKey::new(KEY),
+            source_ip: None,
         });
         connect(self.address, identity, Rc::new(NoService), CONNECT_TIMEOUT)
             .await
--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -31,6 +31,7 @@
         id,
         cluster: CLUSTER.to_owned(),
         key: ClusterKey::new("key"),
+        source_ip: None,
     })
 }
 
--- a/crates/hemlock_nodes/tests/heartbeat_confirmation.rs
+++ b/crates/hemlock_nodes/tests/heartbeat_confirmation.rs
@@ -104,6 +104,7 @@
         id: 1,
         cluster: "test".to_owned(),
         key: ClusterKey::new("key"),
+        source_ip: None,
     };
     let settings = RunnerSettings {
         identity,
--- a/crates/hemlock_wire/src/connect.rs
+++ b/crates/hemlock_wire/src/connect.rs
@@ -1,7 +1,8 @@
 //! Opens connections to other processes of the cluster.
 
 use std::cell::OnceCell;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -10,7 +11,7 @@
 use capnp_rpc::{Disconnector, RpcSystem};
 use futures::io::{BufReader, BufWriter};
 use hemlock_types::prelude::*;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::counted_stream::CountedStream;
@@ -81,7 +82,7 @@
     identity: Rc<Identity>,
     service: Rc<dyn Service>,
 ) -> Result<Connection, ConnectError> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = open_stream(address, identity.source_ip).await?;
     let mut system = RpcSystem::new(Box::new(rpc_network(stream, VatSide::Client)?), None);
     let door: door::Client = system.bootstrap(VatSide::Server);
     let disconnector = DisconnectOnDrop(Some(system.get_disconnector()));
@@ -102,6 +103,18 @@
     })
 }
 
+async fn open_stream(address: SocketAddr, source_ip: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source_ip) = source_ip else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source_ip, 0))?;
+    socket.connect(address).await
+}
+
 /// Closes the connection when dropped, unless [`disarm`](Self::disarm) was called. Guards the
 /// handshake: if it fails or times out, the connection is closed.
 struct DisconnectOnDrop(Option<Disconnector<VatSide>>);
--- a/crates/hemlock_wire/src/identity.rs
+++ b/crates/hemlock_wire/src/identity.rs
@@ -1,6 +1,7 @@
 //! Identities of a process, its peers and its connections.
 
 use std::fmt;
+use std::net::IpAddr;
 
 use derive_more::Display;
 use hemlock_types::prelude::*;
@@ -40,6 +41,8 @@
     pub cluster: String,
     /// The cluster's shared secret.
     pub key: ClusterKey,
+    /// Address from which connections are opened; `None` leaves the choice to the system.
+    pub source_ip: Option<IpAddr>,
 }
 
 /// Identifies a connection within a process.
--- a/crates/hemlock_wire/tests/connection.rs
+++ b/crates/hemlock_wire/tests/connection.rs
@@ -55,6 +55,7 @@
         id: 0,
         cluster: cluster.to_owned(),
         key: ClusterKey::new(key),
+        source_ip: None,
     })
 }
 
--- a/tools/bench/src/cluster/fleet.rs
+++ b/tools/bench/src/cluster/fleet.rs
@@ -107,6 +107,7 @@
         id: 0,
         cluster: cluster_name(),
         key: ClusterKey::new(CLUSTER_KEY),
+        source_ip: None,
     });
     let service: Rc<dyn Service> = Rc::new(InstantEndpoint);
     let serving = serve(
--- a/tools/bench/src/scenario/claims.rs
+++ b/tools/bench/src/scenario/claims.rs
@@ -225,6 +225,7 @@
             id: 0,
             cluster: cluster_name(),
             key: ClusterKey::new(CLUSTER_KEY),
+            source_ip: None,
         });
         let opened = connect(*address, identity, Rc::new(NoService), CONNECT_TIMEOUT).await;
         if let Ok(connection) = opened
