--- a/crates/hemlock_telemetry/src/lib.rs
+++ b/crates/hemlock_telemetry/src/lib.rs
@@ -25,7 +25,8 @@
 pub mod prelude {
     pub use crate::error::TelemetryError;
     pub use crate::setup::{
-        LogWriter, TelemetryConfig, dropped_log_lines, render_metrics, run_metrics_upkeep, start,
+        LogWriter, TelemetryConfig, dropped_log_lines, log_dropped_lines, render_metrics,
+        run_metrics_upkeep, start,
     };
     pub use crate::span::{Hop, SpanRecord};
     pub use crate::trace::TraceContext;
--- a/crates/hemlock_telemetry/src/setup.rs
+++ b/crates/hemlock_telemetry/src/setup.rs
@@ -1,13 +1,15 @@
 //! Installs the log subscriber and the metrics recorder, once per process.
 
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tracing::warn;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::format::FmtSpan;
 
-use crate::batch_writer::BatchWriter;
+use crate::batch_writer::{BatchWriter, LostLines};
 use crate::error::TelemetryError;
 
 /// Upper bounds of the histogram buckets for durations, in milliseconds.
@@ -20,7 +22,24 @@
 const MAX_BUFFERED_LINES: usize = 4_096;
 
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
-static DROPPED_LINES: OnceLock<ErrorCounter> = OnceLock::new();
+static DROPPED_LINES: OnceLock<DroppedLines> = OnceLock::new();
+
+/// Counters of lines that were not written.
+#[derive(Debug)]
+struct DroppedLines {
+    /// Lines that found the queue full.
+    queue_full: ErrorCounter,
+    /// Lines that could not be written to standard output.
+    unwritten: LostLines,
+    /// Number of dropped lines that a log line has told of.
+    logged: AtomicU64,
+}
+
+impl DroppedLines {
+    fn count(&self) -> u64 {
+        self.queue_full.dropped_lines() as u64 + self.unwritten.count()
+    }
+}
 
 /// Handle of the thread that writes log lines. Dropping it writes the lines still waiting, so a
 /// process keeps it until after its last log line.
@@ -106,14 +125,20 @@
             .map(|()| LogWriter::default())
             .map_err(|_| TelemetryError::LogsInstalled);
     }
+    // Whole lines pass the line buffer of standard output with one call for each batch. A duplicate
+    // of its descriptor would do too, but a supervisor may capture only the descriptor itself.
+    let stdout = BatchWriter::new(std::io::stdout());
+    let unwritten = stdout.lost_lines();
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_BUFFERED_LINES)
-        // Whole lines pass the line buffer of standard output with one call for each batch. A duplicate
-        // of its descriptor would do too, but a supervisor may capture only the descriptor itself.
-        .finish(BatchWriter::new(std::io::stdout()));
+        .finish(stdout);
     // Fails if a counter is already set; installing the subscriber below then fails as well.
-    let _ = DROPPED_LINES.set(writer.error_counter());
+    let _ = DROPPED_LINES.set(DroppedLines {
+        queue_full: writer.error_counter(),
+        unwritten,
+        logged: AtomicU64::new(0),
+    });
     let installed = logs.with_writer(writer).try_init();
     installed
         .map(|()| LogWriter {
@@ -122,11 +147,28 @@
         .map_err(|_| TelemetryError::LogsInstalled)
 }
 
-/// Returns the number of log lines dropped because the queue to standard output was full.
+/// Returns the number of log lines dropped because the queue to standard output was full, or because
+/// writing to it failed.
 pub fn dropped_log_lines() -> u64 {
-    DROPPED_LINES
-        .get()
-        .map_or(0, |dropped| dropped.dropped_lines() as u64)
+    DROPPED_LINES.get().map_or(0, DroppedLines::count)
+}
+
+/// Logs how many lines were dropped since this was last logged, if any were. The caller limits how
+/// often.
+pub fn log_dropped_lines() {
+    let Some(dropped) = DROPPED_LINES.get() else {
+        return;
+    };
+    let total = dropped.count();
+    let count = total.saturating_sub(dropped.logged.load(Ordering::Relaxed));
+    if count == 0 {
+        return;
+    }
+    warn!(event = "log-lines-dropped", count, total);
+    // A full queue drops this line too, and the next call logs the number again.
+    if dropped.count() == total {
+        dropped.logged.store(total, Ordering::Relaxed);
+    }
 }
 
 fn install_metrics() -> Result<(), TelemetryError> {
