Log what gateways order, and why they take runs for over

Cause: from the log of a gateway it couldn't be told which runs of a job it had ordered at which runner, for which incarnation of the instance, nor why it took a run for over. Only `job-taken` and `job-ended` named the job; a lost order, an expired runner and the ends in the answer to claims left no line.

Change: new lines `order-sent`, `order-unanswered`, `runs-expired` (also on the leading coordinator), `runs-over-in-claim`, `run-over` for each reported end but success, and `job-submitted-again` for a job that is still open. `job-taken` also has the time left, the greatest age of the request, the last run number that an earlier submission here had used, and the caller's address. Lists are formatted only when the line is enabled, and there is at most one line an order.

--- a/crates/hemlock_dispatch/src/dispatcher/mod.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 pub use admission::{AdmissionError, RejectionCause};
 pub use crashes::ConfinementChange;
 pub use sessions::Adoption;
+pub use tick::ExpiredAgent;
 pub use withdrawal::Withdrawal;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -96,6 +97,8 @@
     containment: Containment,
     /// Changes of the confined queues that are still to be logged.
     confinement_changes: Vec<ConfinementChange>,
+    /// Expired agents that are still to be logged.
+    expired_agents: Vec<ExpiredAgent>,
     /// How long the last instance that came back had been gone, in milliseconds.
     usual_outage_ms: u64,
 }
@@ -129,6 +132,7 @@
             delayed_tasks: DelayedTasks::new(),
             containment: Containment::default(),
             confinement_changes: Vec::new(),
+            expired_agents: Vec::new(),
             usual_outage_ms: INITIAL_OUTAGE_MS,
         };
         if let Some(configuration) = store.configuration() {
@@ -200,11 +204,8 @@
         let expires_after_ms = objective.as_ms() as f64 * self.settings.expire_after_objectives;
         let age_us = age.as_ms() * 1_000;
         let accepted_at = Instant::from_micros(self.now.as_micros().saturating_sub(age_us));
-        let dropped = self.dropped_runs.iter().rev();
-        let earlier = dropped
-            .filter(|(_, job, _)| *job == id)
-            .map(|(_, _, run)| *run);
-        let run_floor = earlier.fold(self.run_floor, RunNumber::max);
+        let earlier = self.dropped_run(id).unwrap_or_default();
+        let run_floor = self.run_floor.max(earlier);
         let step = |(spec, progress): (&StepSpec, &Vec<TaskProgress>)| {
             let task = |progress: &TaskProgress| Task {
                 state: match progress.done {
@@ -281,6 +282,13 @@
         }
     }
 
+    /// The highest run number of a job that was removed a short time ago; `None` if none was.
+    pub fn dropped_run(&self, id: JobId) -> Option<RunNumber> {
+        let dropped = self.dropped_runs.iter();
+        let of_job = dropped.filter(|(_, job, _)| *job == id);
+        of_job.map(|(_, _, run)| *run).max()
+    }
+
     /// Remembers the highest run number of a removed job, so that no number is used twice.
     fn remember_run_numbers(&mut self, id: JobId, job: &Job) {
         let tasks = job.steps.iter().flat_map(|step| &step.tasks);
--- a/crates/hemlock_dispatch/src/dispatcher/tick.rs
+++ b/crates/hemlock_dispatch/src/dispatcher/tick.rs
@@ -1,6 +1,6 @@
 //! State changes caused by the passage of time.
 
-use hemlock_jobs::prelude::AgentId;
+use hemlock_jobs::prelude::{AgentId, RunNumber, TaskKey};
 use hemlock_types::time::{DurationMs, Instant};
 
 use super::Dispatcher;
@@ -8,6 +8,17 @@
 /// Time between two checks for expired agents and ended ejections.
 const SCAN_PERIOD: DurationMs = DurationMs::new(100);
 
+/// An agent that was silent for so long that none of its runs can be alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpiredAgent {
+    /// The agent.
+    pub agent: AgentId,
+    /// Time since its authority was last confirmed.
+    pub unconfirmed: DurationMs,
+    /// Its runs, which are taken for lost.
+    pub runs: Vec<(TaskKey, RunNumber)>,
+}
+
 impl Dispatcher {
     /// Advances the dispatcher's clock and applies what became due.
     pub(super) fn advance(&mut self, now: Instant) {
@@ -49,6 +60,12 @@
             .collect();
         for id in over {
             if let Some(agent) = self.agents.get_mut(&id) {
+                let runs = agent.runs.iter();
+                self.expired_agents.push(ExpiredAgent {
+                    agent: id,
+                    unconfirmed: self.now.since(agent.confirmed),
+                    runs: runs.map(|(task, run)| (*task, run.number)).collect(),
+                });
                 agent.session = None;
                 agent.adopted = false;
                 agent.instance = None;
@@ -57,6 +74,11 @@
         }
     }
 
+    /// Takes the agents that have expired since the last call, for logs.
+    pub fn take_expired_agents(&mut self) -> Vec<ExpiredAgent> {
+        std::mem::take(&mut self.expired_agents)
+    }
+
     /// Requests a placement pass when an ejection has ended.
     fn note_ended_ejections(&mut self) {
         let ended =
--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -33,7 +33,8 @@
 /// The items that most callers need.
 pub mod prelude {
     pub use crate::dispatcher::{
-        AdmissionError, ConfinementChange, Dispatcher, JobStage, RejectionCause, Withdrawal,
+        AdmissionError, ConfinementChange, Dispatcher, ExpiredAgent, JobStage, RejectionCause,
+        Withdrawal,
     };
     pub use crate::order::{
         CrashSuspect, EndAction, Inventory, LoadReport, Order, QueueId, REPORTED_ENDS,
--- a/crates/hemlock_dispatch/tests/dispatching.rs
+++ b/crates/hemlock_dispatch/tests/dispatching.rs
@@ -209,7 +209,7 @@
 fn tasks_of_a_silent_agent_restart_elsewhere_after_its_leases_expire() {
     let mut fixture = Fixture::new(2);
     fixture.submit(1, job(1, 6_000, 900));
-    let (silent, _) = fixture.poll()[0].clone();
+    let (silent, lost) = fixture.poll()[0].clone();
     fixture.close_session(silent);
     let expiry_ms = DispatchSettings::default().expiry().as_ms();
     let mut waited_ms = 0;
@@ -225,6 +225,11 @@
     let (other, start) = fixture.poll()[0].clone();
     assert_ne!(other, silent);
     assert_eq!(start.run, RunNumber(1).next_recorded());
+    let expired = fixture.dispatcher.take_expired_agents();
+    assert_eq!(expired.len(), 1);
+    assert_eq!(expired[0].agent, AgentId(silent));
+    assert_eq!(expired[0].runs, vec![(lost.task, lost.run)]);
+    assert!(expired[0].unconfirmed.as_ms() >= expiry_ms);
 }
 
 #[test]
--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -23,6 +23,7 @@
 use super::watchers::Watchers;
 use crate::confinement::log_confinement_changes;
 use crate::message::{CallerAnswer, EvacuationAnswer, Reply, RunnerReply, RunnerRequest};
+use crate::run_log::log_expired_agents;
 use crate::task_set::TaskSet;
 
 /// Most inputs handled in one iteration.
@@ -557,6 +558,7 @@
         }
         let orders = dispatcher.poll(self.now);
         log_confinement_changes(dispatcher.take_confinement_changes());
+        log_expired_agents(dispatcher.take_expired_agents());
         for order in orders {
             let connection = self.sessions.get(&order.agent);
             let connection = connection.filter(|(session, _)| *session == order.session);
--- a/crates/hemlock_nodes/src/gateway/engine.rs
+++ b/crates/hemlock_nodes/src/gateway/engine.rs
@@ -3,6 +3,7 @@
 mod interrupted;
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
@@ -14,6 +15,7 @@
 use super::interruptions::InterruptionMonitor;
 use crate::confinement::log_confinement_changes;
 use crate::message::{CallerAnswer, Rejection, Report, RunnerUpdate};
+use crate::run_log::{log_claimed_ends, log_expired_agents};
 
 /// Retention of a job's result for repeated requests, in milliseconds.
 const RETENTION_MS: u64 = 10_000;
@@ -63,6 +65,8 @@
     pub answer_deadline: Instant,
     /// Earliest time at which the caller may have sent the request.
     pub sent_after: Instant,
+    /// Address of the caller, if it is known.
+    pub peer: Option<SocketAddr>,
 }
 
 /// The caller that waits for a job.
@@ -151,6 +155,7 @@
             spec,
             answer_deadline,
             sent_after,
+            peer,
         } = submission;
         self.note_active(now);
         self.note_caller_contact(now);
@@ -162,7 +167,13 @@
                 return Err(CallerAnswer::Finished(outcome));
             }
             // The job is submitted again while it is open: only the newest request is answered.
-            Some(None) => return Ok(self.join(now, id, answer_deadline, is_outdated)),
+            Some(None) => {
+                info!(event = "job-submitted-again", job = %id,
+                      time_left_ms = answer_deadline.since(now).as_ms(),
+                      max_age_ms = now.since(sent_after).as_ms(), is_outdated,
+                      peer = peer.map(tracing::field::display));
+                return Ok(self.join(now, id, answer_deadline, is_outdated));
+            }
             None if is_outdated => return Err(reject_outdated(id, queue)),
             None => {}
         }
@@ -188,7 +199,11 @@
             });
         }
         info!(event = "job-taken", job = %id, queue = queue.name, tasks = spec.task_count(),
-              waiting = self.dispatcher.waiting_tasks());
+              waiting = self.dispatcher.waiting_tasks(),
+              time_left_ms = answer_deadline.since(now).as_ms(),
+              max_age_ms = now.since(sent_after).as_ms(),
+              last_run = self.dispatcher.dropped_run(id).map(|run| run.0),
+              peer = peer.map(tracing::field::display));
         let acceptance = Acceptance::new(
             id,
             queue.name.as_str(),
@@ -275,6 +290,7 @@
         self.give_up_overdue(now);
         let orders = self.dispatcher.poll(now);
         log_confinement_changes(self.dispatcher.take_confinement_changes());
+        log_expired_agents(self.dispatcher.take_expired_agents());
         let expired = self.dispatcher.expired_jobs();
         if expired.is_empty() {
             return orders;
@@ -368,6 +384,7 @@
         let Some(adoption) = self.dispatcher.adopt(now, agent, session, inventory) else {
             return Vec::new();
         };
+        log_claimed_ends(agent, session, &inventory.runs);
         for (report, action) in adoption.ends {
             self.handle_end(now, report, action);
         }
@@ -449,6 +466,11 @@
         for ended in &report.ended {
             let action = self.dispatcher.report_end(now, agent, session, *ended);
             if let Some(action) = action {
+                if ended.end != Some(RunEnd::Done) {
+                    info!(event = "run-over", task = %ended.task, run = ended.run.0,
+                          agent = agent.0, session = session.0,
+                          end = ended.end.map(tracing::field::display));
+                }
                 self.handle_end(now, *ended, action);
             }
         }
--- a/crates/hemlock_nodes/src/gateway/mod.rs
+++ b/crates/hemlock_nodes/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod service;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hemlock_jobs::prelude::*;
@@ -45,6 +46,17 @@
     pub max_runners: usize,
 }
 
+/// What is known of a caller that waits for an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// Its address, if it is known.
+    pub peer: Option<SocketAddr>,
+    /// Time for which it still waits.
+    pub time_left: DurationMs,
+    /// Longest time since it may have sent its request.
+    pub max_age: DurationMs,
+}
+
 /// Serves callers' requests.
 pub struct Gateway {
     identity: Rc<Identity>,
@@ -102,14 +114,9 @@
         self.engine.borrow().open_jobs()
     }
 
-    /// Serves the request of a caller that waits for `time_left`. The caller may have sent it up to
-    /// `max_age` ago.
-    pub async fn call(
-        self: &Rc<Self>,
-        request: CallerRequest,
-        time_left: DurationMs,
-        max_age: DurationMs,
-    ) -> CallerAnswer {
+    /// Serves the request of a caller.
+    pub async fn call(self: &Rc<Self>, request: CallerRequest, caller: Caller) -> CallerAnswer {
+        let time_left = caller.time_left;
         let configuration = self.configuration.borrow().clone();
         let Some(configuration) = configuration else {
             return CallerAnswer::Rejected {
@@ -123,8 +130,7 @@
         match (&request.action, found.rest.parse::<JobId>()) {
             (CallerAction::Submit(spec), Ok(id)) if spec.best_effort => {
                 let spec = spec.clone();
-                self.serve_best_effort(id, found.queue, spec, time_left, max_age)
-                    .await
+                self.serve_best_effort(id, found.queue, spec, caller).await
             }
             (CallerAction::Cancel, Ok(id)) if self.abandon(id) => CallerAnswer::Canceled,
             (CallerAction::State, Err(_)) if found.rest.is_empty() => {
@@ -148,18 +154,19 @@
         id: JobId,
         queue: &Queue,
         spec: JobSpec,
-        time_left: DurationMs,
-        max_age: DurationMs,
+        caller: Caller,
     ) -> CallerAnswer {
         let now = self.clock.now();
-        let usable_ms = time_left.as_ms().saturating_sub(ANSWER_MARGIN.as_ms());
+        let time_left_ms = caller.time_left.as_ms();
+        let usable_ms = time_left_ms.saturating_sub(ANSWER_MARGIN.as_ms());
         let answer_deadline = now + DurationMs::new(usable_ms);
         let submission = Submission {
             id,
             queue,
             spec,
             answer_deadline,
-            sent_after: now.before(max_age),
+            sent_after: now.before(caller.max_age),
+            peer: caller.peer,
         };
         let submitted = self.engine.borrow_mut().submit(now, submission);
         self.run_engine();
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -18,6 +18,7 @@
 use crate::address::{keeper_address, peer_address};
 use crate::connect_timeouts::ConnectTimeouts;
 use crate::message::{Report, RunnerReply, RunnerRequest};
+use crate::run_log::log_order;
 use crate::subset::choose_subset;
 
 /// Delay after the first failed connection attempt.
@@ -275,6 +276,7 @@
             let Some(link) = current.link(order.session) else {
                 continue;
             };
+            log_order(&order);
             let gateway = Rc::clone(self);
             self.tasks.spawn(async move {
                 gateway.send_order(link, &current, order).await;
@@ -283,7 +285,7 @@
     }
 
     async fn send_order(self: Rc<Self>, link: Link, current: &CurrentSession, order: Order) {
-        let (agent, session) = (order.agent, order.session);
+        let (agent, session, sequence) = (order.agent, order.session, order.sequence);
         let sent_at = self.clock.now();
         let request = RunnerRequest::Order(order);
         let answer = link.call::<_, RunnerReply>(&request);
@@ -308,7 +310,23 @@
                 }
             }
             // The next session claims the order's runs, which shows whether it was carried out.
-            Ok(_) | Err(_) => current.end(session),
+            unusable => {
+                let cause = match unusable {
+                    Ok(Ok(_)) => "unusable",
+                    Ok(Err(_)) => "failed",
+                    Err(_) => "silent",
+                };
+                let after_ms = self.clock.now().since(sent_at).as_ms();
+                warn!(
+                    event = "order-unanswered",
+                    agent = agent.0,
+                    session = session.0,
+                    sequence,
+                    after_ms,
+                    cause
+                );
+                current.end(session);
+            }
         }
     }
 }
--- a/crates/hemlock_nodes/src/lib.rs
+++ b/crates/hemlock_nodes/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod load_reports;
 pub mod message;
 pub mod operator;
+mod run_log;
 pub mod runner;
 pub mod subset;
 pub mod task_set;
@@ -38,7 +39,7 @@
         ReadAnswer,
     };
     pub use crate::gateway::engine::EngineSettings;
-    pub use crate::gateway::{Gateway, GatewaySettings};
+    pub use crate::gateway::{Caller, Gateway, GatewaySettings};
     pub use crate::message::{
         CallerAction, CallerAnswer, CallerRequest, EvacuationAnswer, EvacuationChange, JobState,
         Rejection,
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -196,6 +196,7 @@
             spec: JobSpec::new(Bytes::from_static(b"work"), vec![step]),
             answer_deadline: self.now + DurationMs::new(1_500),
             sent_after: self.now,
+            peer: None,
         };
         self.engine.submit(self.now, submission)
     }
--- a/crates/hemlock_nodes/tests/interrupted_gateway.rs
+++ b/crates/hemlock_nodes/tests/interrupted_gateway.rs
@@ -147,6 +147,7 @@
             spec: JobSpec::new(Bytes::from_static(b"work"), vec![step]).with_best_effort(true),
             answer_deadline: self.now + DurationMs::new(time_left_ms),
             sent_after,
+            peer: None,
         };
         self.engine.submit(self.now, submission)
     }
--- a/crates/hemlock_nodes/tests/replay/mod.rs
+++ b/crates/hemlock_nodes/tests/replay/mod.rs
@@ -235,6 +235,7 @@
             spec: arrival.spec.clone(),
             answer_deadline: Instant::from_micros(deadline_us),
             sent_after: Instant::from_micros(self.now_us),
+            peer: None,
         };
         let now = Instant::from_micros(self.now_us);
         let state = &mut self.gateways[gateway];
