Log for whom a runner starts runs, and why it stops them

Cause: a `start` line named neither the owner nor the session that had ordered the run, nor the incarnation of the instance that the runner believed in, nor the lease. Runs that were stopped because their owner had left or nobody claimed them had a `stop` line without a reason.

Change: `start` also has `owner`, `session`, `instance` and `lease_until_ms`.

--- a/crates/hemlock_nodes/src/run_log.rs
+++ b/crates/hemlock_nodes/src/run_log.rs
@@ -1,9 +1,12 @@
-//! Log lines of the owners of runs: what they order, and which runs they take for over.
+//! Log lines of the owners of runs, and of runners about the owners: what is ordered, and which runs
+//! are taken for over.
 
 use std::fmt::{self, Display, Formatter};
 
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
+use hemlock_runs::prelude::OwnershipChange;
+use hemlock_types::time::DurationMs;
 use tracing::{info, warn};
 
 /// Writes runs as `task/run`, separated by spaces. Nothing is formatted for a disabled log line.
@@ -68,3 +71,33 @@
               runs = %RunList(runs.iter().copied()));
     }
 }
+
+/// Logs which runs at the instance wait for their owners, or are stopped because they have none.
+pub(crate) fn log_ownership_changes(changes: Vec<OwnershipChange>) {
+    for change in changes {
+        match change {
+            OwnershipChange::Found(runs) => {
+                info!(event = "runs-found", runs = %RunList(runs.iter().copied()));
+            }
+            OwnershipChange::Unknown(runs) => {
+                warn!(event = "runs-unknown", runs = %RunList(runs.iter().copied()));
+            }
+            OwnershipChange::Unclaimed { waited, runs } => {
+                warn!(event = "runs-unclaimed", waited_ms = waited.as_ms(),
+                      runs = %RunList(runs.iter().copied()));
+            }
+            OwnershipChange::OwnerGone {
+                owner,
+                session,
+                closed,
+                silent,
+                runs,
+            } => {
+                let cause = if closed.is_some() { "closed" } else { "silent" };
+                info!(event = "owner-gone", owner = ?owner, session = session.0, cause,
+                      closed_ms = closed.map(DurationMs::as_ms), silent_ms = silent.as_ms(),
+                      runs = %RunList(runs.iter().copied()));
+            }
+        }
+    }
+}
--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -8,6 +8,7 @@
 
 use super::Runner;
 use crate::listing_backoff::ListingBackoff;
+use crate::run_log::log_ownership_changes;
 
 /// Longest time that an idle instance may hold a listing before it answers.
 const IDLE_HOLD: DurationMs = DurationMs::new(100);
@@ -101,6 +102,7 @@
     fn handle_listing(self: &Rc<Self>, now: Instant, sent_at: Instant, listing: &Listing) {
         self.note_unusable_entries(listing);
         let (change, calls) = self.runs.borrow_mut().handle_listing(now, sent_at, listing);
+        log_ownership_changes(self.runs.borrow_mut().take_ownership_changes());
         if change == InstanceChange::RunsLost {
             let (born, runs) = (listing.born_ms, listing.running.len());
             let asked_ms = now.since(sent_at).as_ms();
--- a/crates/hemlock_nodes/src/runner/mod.rs
+++ b/crates/hemlock_nodes/src/runner/mod.rs
@@ -25,6 +25,7 @@
 use crate::evacuations::log_evacuations;
 use crate::hedge::HedgedDriver;
 use crate::message::{Reply, Report, Request};
+use crate::run_log::log_ownership_changes;
 use crate::task_set::TaskSet;
 pub use error::RunnerError;
 use gateways::Gateways;
@@ -154,6 +155,7 @@
         loop {
             tokio::time::sleep(TICK_INTERVAL.as_std()).await;
             let calls = self.runs.borrow_mut().tick(self.clock.now());
+            log_ownership_changes(self.runs.borrow_mut().take_ownership_changes());
             self.make_calls(calls);
             self.report_outcomes();
             self.note_suspension();
@@ -330,11 +332,19 @@
         match call {
             DriverCall::Start(call) => {
                 let sent_at = self.clock.now();
+                let (ordered_by, instance) = {
+                    let runs = self.runs.borrow();
+                    let instance = runs.instance().map(|instance| instance.id.clone());
+                    (runs.owner_of(call.task, call.run), instance)
+                };
                 let result = self.driver.start(call.clone()).await;
                 let took_ms = self.clock.now().since(sent_at).as_ms() as f64;
                 metrics::histogram!("hemlock_runner_start_ms").record(took_ms);
                 info!(event = "start", task = %call.task, run = call.run.0, fence = call.fence,
-                       took_ms, result = ?result);
+                       owner = ordered_by.as_ref().map(|(owner, _)| tracing::field::debug(owner)),
+                       session = ordered_by.map(|(_, session)| session.0),
+                       instance = instance.as_ref().map(tracing::field::display),
+                       lease_until_ms = call.lease_until_ms, took_ms, result = ?result);
                 let now = self.clock.now();
                 let follow_up = self.runs.borrow_mut().start_answered(now, &call, result);
                 self.report_outcomes();
--- a/crates/hemlock_runs/src/lib.rs
+++ b/crates/hemlock_runs/src/lib.rs
@@ -29,7 +29,7 @@
     };
     pub use crate::runs::{
         Claim, Confirmation, DriverCall, FenceAction, Heartbeat, HeartbeatOutcome, InstanceChange,
-        RefusedStart, RunOutcome, Runs, RunsSettings,
+        OwnershipChange, RefusedStart, RunOutcome, Runs, RunsSettings,
     };
     pub use crate::shares::Shares;
     pub use crate::tracked_run::Owner;
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -5,6 +5,7 @@
 mod listing;
 mod orders;
 mod owners;
+mod ownership;
 mod postponement;
 mod queue;
 mod start_limit;
@@ -13,6 +14,7 @@
 use incarnation::IncarnationState;
 pub use incarnation::{Confirmation, Heartbeat, HeartbeatOutcome, InstanceChange};
 pub use owners::Claim;
+pub use ownership::OwnershipChange;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -224,6 +226,8 @@
     crashes: CrashReports,
     /// Outcomes that their owners are still to be told.
     outbox: Vec<(Owner, RunOutcome)>,
+    /// Changes in the ownership of runs that are still to be logged.
+    ownership_changes: Vec<OwnershipChange>,
     /// Tasks whose stop failed and must be sent again.
     stop_retries: BTreeSet<TaskKey>,
     /// Time since which runs of an earlier process wait for their owners to claim them.
@@ -269,6 +273,7 @@
             recent_ends: VecDeque::new(),
             crashes: CrashReports::default(),
             outbox: Vec::new(),
+            ownership_changes: Vec::new(),
             stop_retries: BTreeSet::new(),
             unclaimed_since: None,
             runs_known: false,
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -7,6 +7,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 
 use super::orders::unclaimed_run;
+use super::ownership::{OwnershipChange, runs_of};
 use super::{DriverCall, InstanceChange, NumberedEnd, RefusedStart, RunOutcome, Runs};
 use crate::driver::Listing;
 use crate::tracked_run::{Owner, Phase, TrackedRun};
@@ -125,12 +126,17 @@
 
     /// Adds the runs in the first listing as unclaimed, so that their owners can claim them.
     fn import_runs(&mut self, now: Instant, listing: &Listing) {
+        let mut found = Vec::new();
         for listed in &listing.running {
             if !self.table.contains_key(&listed.task) {
                 self.insert(listed.task, unclaimed_run(listed.run, Phase::Running(now)));
                 self.unclaimed_since.get_or_insert(now);
+                found.push((listed.task, listed.run));
             }
         }
+        if !found.is_empty() {
+            self.ownership_changes.push(OwnershipChange::Found(found));
+        }
     }
 
     /// Stops listed runs that are not in the table: their starts were executed late.
@@ -142,6 +148,10 @@
                 calls.extend(self.begin_stop(now, listed.task, false));
             }
         }
+        if !calls.is_empty() {
+            let unknown = OwnershipChange::Unknown(runs_of(&calls));
+            self.ownership_changes.push(unknown);
+        }
         calls
     }
 
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -5,6 +5,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 use serde::{Deserialize, Serialize};
 
+use super::ownership::{OwnershipChange, runs_of};
 use super::{DriverCall, OwnerState, Runs, RunsSettings};
 use crate::tracked_run::{Owner, Phase, TrackedRun};
 
@@ -317,10 +318,15 @@
             .collect();
         let mut calls = Vec::new();
         for owner in gone {
-            self.owners.remove(&owner);
+            let state = self.owners.remove(&owner);
             self.shares.remove(owner);
             self.drop_queued_starts(owner);
-            calls.extend(self.stop_runs_of(now, Some(owner)));
+            let stops = self.stop_runs_of(now, Some(owner));
+            if let Some(state) = state {
+                let change = OwnershipChange::owner_gone(now, owner, &state, &stops);
+                self.ownership_changes.push(change);
+            }
+            calls.extend(stops);
         }
         self.mark_lapsed_ends(now);
         self.breaker.advance(now);
@@ -371,7 +377,14 @@
         match self.unclaimed_since {
             Some(since) if now > since + timeout => {
                 self.unclaimed_since = None;
-                self.stop_runs_of(now, None)
+                let stops = self.stop_runs_of(now, None);
+                if !stops.is_empty() {
+                    self.ownership_changes.push(OwnershipChange::Unclaimed {
+                        waited: now.since(since),
+                        runs: runs_of(&stops),
+                    });
+                }
+                stops
             }
             Some(_) | None => Vec::new(),
         }
