Write log lines in parts of whole lines that a pipe takes at once

Cause: a batch of log lines was one write of up to 64 KiB.

Change: at most 4 KiB of whole lines a write.

--- a/crates/hemlock_telemetry/src/batch_writer.rs
+++ b/crates/hemlock_telemetry/src/batch_writer.rs
@@ -11,6 +11,9 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of buffered bytes that are written without waiting for a flush.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+/// Most bytes of one write, unless a line is longer. A pipe takes as many at once or none, and a
+/// supervisor may keep no more of one write than fits its buffer.
+const MAX_WRITE_BYTES: usize = 4 * 1024;
 /// Pause before a write to a busy target is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest time without progress for which a busy target is waited for.
@@ -115,7 +118,7 @@
         let result = match rest.is_empty() {
             // The target may buffer a part of what it has taken.
             true => target.flush().map(|()| None),
-            false => target.write(rest).map(Some),
+            false => target.write(first_lines(rest)).map(Some),
         };
         match result {
             Ok(None) => return Ok(()),
@@ -136,6 +139,15 @@
     }
 }
 
+/// The whole lines at the beginning that are written at once; at least one.
+fn first_lines(bytes: &[u8]) -> &[u8] {
+    let most = &bytes[..bytes.len().min(MAX_WRITE_BYTES)];
+    let is_end = |byte: &u8| *byte == b'\n';
+    let last_end = most.iter().rposition(is_end);
+    let end = last_end.or_else(|| bytes.iter().position(is_end));
+    end.map_or(bytes, |end| &bytes[..=end])
+}
+
 impl<W: Write> Write for BatchWriter<W> {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         self.buffer.extend_from_slice(line);
--- a/crates/hemlock_telemetry/tests/batch_writer.rs
+++ b/crates/hemlock_telemetry/tests/batch_writer.rs
@@ -50,6 +50,43 @@
     assert_eq!(String::from_utf8(written).as_deref(), Ok(expected.as_str()));
 }
 
+/// Keeps the sizes of the writes that reach it.
+#[derive(Debug, Default)]
+struct Sizes(Vec<usize>);
+
+impl Write for &mut Sizes {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        assert_eq!(bytes.last(), Some(&b'\n'), "lines are written whole");
+        self.0.push(bytes.len());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that are missing from a record: a supervisor kept only the first part of a
+/// large batch.
+#[test]
+fn large_batches_are_written_in_parts_of_whole_lines() {
+    let mut sizes = Sizes::default();
+    let mut writer = BatchWriter::new(&mut sizes);
+    for length in [300, 200, 5_000, 100].into_iter().cycle().take(40) {
+        writeln!(writer, "{}", "x".repeat(length)).expect("the buffer takes the line");
+    }
+    writer.flush().expect("the target takes all bytes");
+    drop(writer);
+    assert_eq!(
+        sizes.0.iter().sum::<usize>(),
+        10 * (300 + 200 + 5_000 + 100 + 4)
+    );
+    assert!(
+        sizes.0.iter().all(|size| *size <= 4_096 || *size == 5_001),
+        "{sizes:?}"
+    );
+}
+
 /// What a [`Scripted`] target does with a write.
 #[derive(Clone, Copy, Debug)]
 enum Step {
