--- a/crates/hemlock_runs/tests/incarnations.rs
+++ b/crates/hemlock_runs/tests/incarnations.rs
@@ -284,3 +284,48 @@
     harness.runs.start_answered(harness.now, &call, unanswered);
     assert_eq!(ends(&mut harness), vec![Some(RunEnd::Lapsed)]);
 }
+
+/// Guards against tasks that run twice at once: a start reached an instance that had been restarted
+/// unnoticed, and the run was reported as crashed while the instance listed it.
+#[test]
+fn a_run_that_a_restarted_instance_lists_has_not_ended() {
+    let mut harness = Harness::new();
+    let call = start_in_flight(&mut harness);
+    harness.model = InstanceModel::new(2);
+    let result = harness.model.start(&call);
+    let follow_up = harness.runs.start_answered(harness.now, &call, result);
+    assert_eq!(follow_up, None);
+    harness.advance_ms(1);
+    let list_call = harness.list_call();
+    let listing = harness.model.list(&list_call);
+    let listing = listing.expect("the call carries the highest fencing token");
+    let (_, calls) = harness
+        .runs
+        .handle_listing(harness.now, harness.now, &listing);
+    assert!(harness.model.running().contains_key(&task(1)));
+    assert_eq!(ends(&mut harness), vec![], "the run has not ended");
+    harness.execute(calls);
+    harness.run_for_ms(100);
+    assert_eq!(ends(&mut harness).len(), 1);
+}
+
+/// Guards against the same failure if the start was executed after the listing and its answer
+/// arrived before: the listing can't name the run.
+#[test]
+fn a_run_that_began_after_the_listing_of_a_restarted_instance_has_not_ended() {
+    let mut harness = Harness::new();
+    let call = start_in_flight(&mut harness);
+    harness.model = InstanceModel::new(2);
+    let asked_at = harness.now;
+    let list_call = harness.list_call();
+    let listing = harness.model.list(&list_call);
+    let listing = listing.expect("the call carries the highest fencing token");
+    harness.advance_ms(1);
+    let result = harness.model.start(&call);
+    harness.runs.start_answered(harness.now, &call, result);
+    harness.advance_ms(1);
+    let (_, calls) = harness.runs.handle_listing(harness.now, asked_at, &listing);
+    harness.execute(calls);
+    assert!(harness.model.running().contains_key(&task(1)));
+    assert_eq!(ends(&mut harness), vec![], "the run has not ended");
+}
