End a gateway's runs before its callers submit their jobs again

Cause: a runner renewed full leases until it would have stopped a silent gateway's runs: 0.85 s, a tick, and a lease of 1.02 s, some 1.9 s after the last sign. It counted on being there to stop them. If it is lost, stands still or its stops aren't answered, they outlive the 1.3 s after which callers submit their jobs again.

Change: a lease that covers a gateway's run ends 50 ms before the resubmission time after the last sign of that gateway, on the slowest clock, until a stop of the run is accepted. Starts wait if too little is left. The resubmission time comes from the settings.

Why it works: the instance itself ends the runs; nothing has to be alive or reachable for that.

--- a/crates/hemlock_dispatch/src/lib.rs
+++ b/crates/hemlock_dispatch/src/lib.rs
@@ -41,7 +41,7 @@
         RefusalReason, RunEnd, RunReport, SessionId, StartOrder, StopOrder, URGENCY_LEVELS,
         Urgency, WITHHOLDS_ALL,
     };
-    pub use crate::settings::{CapacitySource, DispatchSettings, longest_lease};
+    pub use crate::settings::{CapacitySource, DispatchSettings, lease_within, longest_lease};
     pub use crate::size_refusal::RelativeSize;
     pub use hemlock_jobs::prelude::{InstanceId, InstanceReport};
 }
--- a/crates/hemlock_dispatch/src/settings.rs
+++ b/crates/hemlock_dispatch/src/settings.rs
@@ -73,6 +73,12 @@
     }
 }
 
+/// The lease, measured by an instance's clock, that is over within this time even if the clock runs
+/// slow, in milliseconds.
+pub fn lease_within(duration: DurationMs) -> u64 {
+    duration.as_ms() * (1_000 - MAX_CLOCK_LAG_PER_MILLE) / 1_000
+}
+
 /// Longest true duration of a lease of `lease_ms` measured by an instance's clock, which may run
 /// slow.
 pub fn longest_lease(lease_ms: u64) -> DurationMs {
--- a/crates/hemlock_nodes/tests/callers/gateways.rs
+++ b/crates/hemlock_nodes/tests/callers/gateways.rs
@@ -225,6 +225,7 @@
             spec,
             answer_deadline: now + DurationMs::new(DEADLINE_MS - ANSWER_MARGIN_MS),
             sent_after,
+            peer: None,
         };
         let submitted = self.gateways[index].engine.submit(now, submission);
         self.note_job(
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -20,7 +20,7 @@
 
 use hemlock_dispatch::prelude::{
     InstanceReport, LoadReport, REPORTED_ENDS, RefusalReason, RunEnd, RunReport, SessionId,
-    URGENCY_LEVELS, longest_lease,
+    URGENCY_LEVELS, lease_within, longest_lease,
 };
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
@@ -38,6 +38,9 @@
 /// Safety margin after the longest lease, in milliseconds, before the runs that it covers count as
 /// ended.
 const LEASE_MARGIN_MS: u64 = 50;
+/// Time by which a gateway's runs end before its callers submit their jobs again, in milliseconds.
+/// It covers messages in transit and the error of the estimated clock.
+const RESUBMIT_MARGIN_MS: u64 = 50;
 /// Increase of the fencing token of a new process after the instance has reported a higher one. The
 /// tokens are wall-clock times in milliseconds, so a clock that was set back is overtaken soon.
 const FENCE_STEP: u64 = 60_000;
@@ -50,10 +53,12 @@
     pub leader_authority_ms: u64,
     /// Time for which a gateway's runs continue after it was last heard from, in milliseconds.
     pub gateway_timeout_ms: u64,
-    /// Time that a gateway whose connection has closed has to reconnect, in milliseconds. The sum
-    /// of it, one tick and a full lease is less than the time after which callers submit a job
-    /// again.
+    /// Time that a gateway whose connection has closed has to reconnect, in milliseconds.
     pub reconnect_timeout_ms: u64,
+    /// Shortest time after the last sign of a gateway after which its callers may have submitted
+    /// their jobs through another one, in milliseconds. No lease lets a gateway's run go on longer,
+    /// also if this process is lost or its stops have no effect.
+    pub resubmit_ms: u64,
     /// Time in which owners must claim the runs that an earlier process started, in milliseconds:
     /// live owners reconnect within a few tenths of a second.
     pub claim_timeout_ms: u64,
@@ -77,6 +82,7 @@
             leader_authority_ms: 2_000,
             gateway_timeout_ms: 850,
             reconnect_timeout_ms: 200,
+            resubmit_ms: 1_300,
             claim_timeout_ms: 400,
             answer_timeout_ms: 500,
             lease_ms: 1_000,
@@ -189,6 +195,8 @@
     /// Whether the instance has accepted the fencing token.
     fence_accepted: bool,
     owners: BTreeMap<Owner, OwnerState>,
+    /// Gateways without a session whose runs may not be over, with the time of their last sign.
+    departed: BTreeMap<Owner, Instant>,
     /// Sending time of the last request of this process that a leader has confirmed.
     leader_confirmed_at: Option<Instant>,
     shares: Shares,
@@ -251,6 +259,7 @@
             fence,
             fence_accepted: false,
             owners: BTreeMap::new(),
+            departed: BTreeMap::new(),
             leader_confirmed_at: None,
             shares: Shares::default(),
             instance: None,
@@ -394,9 +403,39 @@
         Some(reading.clock_ms + now.since(reading.at).as_ms())
     }
 
-    /// Extends the lease to its full duration from now and returns its end on the instance's clock.
+    /// Time by which the runs of gateways must be over unless they are heard from again: the callers
+    /// of the one that has been silent for the longest time may submit their jobs again then.
+    fn gateways_limit(&self) -> Option<Instant> {
+        let may_go_on = |tracked: &&TrackedRun| {
+            let has_stopped = matches!(
+                tracked.phase,
+                Phase::Stopping {
+                    accepted: Some(_),
+                    ..
+                }
+            );
+            matches!(tracked.owner, Some(Owner::Gateway(_))) && !has_stopped
+        };
+        let heard_at = |owner: Owner| {
+            let state = self.owners.get(&owner);
+            let last_heard = state.map(|state| state.last_heard);
+            last_heard.or_else(|| self.departed.get(&owner).copied())
+        };
+        let runs = self.table.values().filter(may_go_on);
+        let earliest = runs.filter_map(|tracked| heard_at(tracked.owner?)).min()?;
+        let limit_ms = self.settings.resubmit_ms.saturating_sub(RESUBMIT_MARGIN_MS);
+        Some(earliest + DurationMs::new(limit_ms))
+    }
+
+    /// Extends the lease to its full duration from now, or as far as the silence of gateways allows,
+    /// and returns its end on the instance's clock.
     fn extend_lease(&mut self, now: Instant) -> Option<u64> {
-        let until_ms = self.clock_ms(now)? + self.settings.lease_ms;
+        let limit = self.gateways_limit();
+        let allowed_ms = limit.map(|limit| lease_within(limit.since(now)));
+        let length_ms = allowed_ms.map_or(self.settings.lease_ms, |allowed_ms| {
+            allowed_ms.min(self.settings.lease_ms)
+        });
+        let until_ms = self.clock_ms(now)? + length_ms;
         self.lease_until_max_ms = self.lease_until_max_ms.max(until_ms);
         self.lease_extended_at = now;
         Some(until_ms)
@@ -412,19 +451,18 @@
         may_renew.then(|| self.extend_lease(now)).flatten()
     }
 
-    /// The end of the lease for a start now, on the instance's clock. A start that may not extend
-    /// the lease uses the rest of the current one, if enough is left.
+    /// The end of the lease for a start now, on the instance's clock, if enough is left of it. A
+    /// start that may not extend the lease uses the rest of the current one.
     fn lease_for_start(&mut self, now: Instant) -> Option<u64> {
         if !self.is_answering(now) {
             return None;
         }
-        match self.may_renew(now) {
-            true => self.extend_lease(now),
-            false => {
-                let min_until_ms = self.clock_ms(now)? + self.settings.min_start_lease_ms;
-                Some(self.lease_until_max_ms).filter(|until_ms| *until_ms >= min_until_ms)
-            }
-        }
+        let until_ms = match self.may_renew(now) {
+            true => self.extend_lease(now)?,
+            false => self.lease_until_max_ms,
+        };
+        let min_until_ms = self.clock_ms(now)? + self.settings.min_start_lease_ms;
+        (until_ms >= min_until_ms).then_some(until_ms)
     }
 
     /// Whether the instance has answered recently. An instance that does not answer may still
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -64,6 +64,7 @@
                 last_order: 0,
             },
         );
+        self.departed.remove(&owner);
         // The queued starts were ordered in an earlier session.
         self.drop_queued_starts(owner);
         let mut runs: Vec<RunReport> = Vec::new();
@@ -323,11 +324,15 @@
             self.drop_queued_starts(owner);
             let stops = self.stop_runs_of(now, Some(owner));
             if let Some(state) = state {
+                self.departed.insert(owner, state.last_heard);
                 let change = OwnershipChange::owner_gone(now, owner, &state, &stops);
                 self.ownership_changes.push(change);
             }
             calls.extend(stops);
         }
+        let table = &self.table;
+        let has_runs = |owner: &Owner| table.values().any(|run| run.owner == Some(*owner));
+        self.departed.retain(|owner, _| has_runs(owner));
         self.mark_lapsed_ends(now);
         self.breaker.advance(now);
         calls.extend(self.stop_unclaimed(now));
