Don't report runs as crashed that a returned instance runs

Cause: a runner notices a restart only by the start time in a listing, and X-Target-Instance names the id alone, so a start may have reached the next incarnation before. The runner took all its runs for those of the lost incarnation and reported them as crashed, also the one that the same listing named; their owners started the tasks elsewhere, and the run went on until its stop took effect. The same belief stood behind a refused call that was made before a run began, and behind a listing requested before.

Change: a run that the listing names as running or ended, or that was first known to run after the call was made, is kept. What the returned instance lists is stopped, and its end is told once a later listing confirms it.

--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -478,7 +478,7 @@
         let margin = DurationMs::new(self.settings.max_stop_ms + LEASE_MARGIN_MS);
         let lapsed = now > self.lease_extended_at + self.longest_lease() + margin;
         match lapsed && !self.is_answering(now) {
-            true => self.note_lost(now, Loss::Silent),
+            true => self.note_lost(now, Loss::Silent, |_, _| false),
             false => InstanceChange::None,
         }
     }
--- a/crates/hemlock_runs/src/runs/crashes.rs
+++ b/crates/hemlock_runs/src/runs/crashes.rs
@@ -80,12 +80,21 @@
 
 impl Runs {
     /// Ends all tracked runs and refuses all queued starts, because the instance is lost. Runs whose
-    /// start calls are unanswered end with these calls.
-    pub(super) fn end_all_runs(&mut self, now: Instant, loss: Loss) {
+    /// start calls are unanswered end with these calls, and those that `may_go_on` at the next
+    /// incarnation are kept.
+    pub(super) fn end_all_runs(
+        &mut self,
+        now: Instant,
+        loss: Loss,
+        may_go_on: impl Fn(TaskKey, &TrackedRun) -> bool,
+    ) {
         let mut table = std::mem::take(&mut self.table);
         self.used = Resources::default();
         self.stop_retries.clear();
         self.unclaimed_since = None;
+        for (task, tracked) in table.extract_if(.., |task, tracked| may_go_on(*task, tracked)) {
+            self.insert(task, tracked);
+        }
         let instance = self.instance.as_ref();
         let is_leaving = instance.is_some_and(|instance| instance.draining);
         if loss == Loss::Exit {
--- a/crates/hemlock_runs/src/runs/incarnation.rs
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -4,7 +4,10 @@
 //! another incarnation than the present one therefore proves nothing: believing it would report
 //! runs as ended that continue. Only answers of the instance itself tell of a restart.
 
+use std::collections::BTreeSet;
+
 use hemlock_dispatch::prelude::{InstanceId, InstanceReport, RefusalReason};
+use hemlock_jobs::prelude::{RunNumber, TaskKey};
 use hemlock_types::time::{DurationMs, Instant};
 
 use super::start_limit::ColdPhase;
@@ -12,6 +15,7 @@
 use crate::breaker::Breaker;
 use crate::driver::Listing;
 use crate::pace::Pace;
+use crate::tracked_run::TrackedRun;
 
 /// Largest difference of the sequence numbers of two heartbeats that follow each other.
 const MAX_SEQUENCE_STEP: u64 = 1_000_000;
@@ -203,16 +207,21 @@
     /// Handles the loss of the instance, whose process has exited, as shown by a call made at
     /// `asked_at`.
     pub fn instance_lost(&mut self, now: Instant, asked_at: Instant) -> InstanceChange {
-        match self.predates_incarnation(asked_at) {
-            true => InstanceChange::None,
-            false => self.note_lost(now, Loss::Exit),
+        if self.predates_incarnation(asked_at) {
+            return InstanceChange::None;
         }
+        self.note_lost(now, Loss::Exit, |_, tracked| tracked.began_after(asked_at))
     }
 
-    pub(super) fn note_lost(&mut self, now: Instant, loss: Loss) -> InstanceChange {
+    pub(super) fn note_lost(
+        &mut self,
+        now: Instant,
+        loss: Loss,
+        may_go_on: impl Fn(TaskKey, &TrackedRun) -> bool,
+    ) -> InstanceChange {
         let was_present = self.reachable || !self.table.is_empty();
         self.reachable = false;
-        self.end_all_runs(now, loss);
+        self.end_all_runs(now, loss, may_go_on);
         match was_present {
             true => InstanceChange::RunsLost,
             false => InstanceChange::None,
@@ -240,9 +249,18 @@
         }
     }
 
-    /// Updates the start time of the instance with one that the instance has answered. Returns true
-    /// if the instance has been restarted, which ends all its runs.
-    pub(super) fn note_instance_start(&mut self, now: Instant, born_ms: u64) -> bool {
+    /// Updates the start time of the instance with that in a listing, requested at `asked_at`.
+    /// Returns true if the instance has been restarted, which ends the runs of its predecessor.
+    ///
+    /// The name may be the same, so a start that was meant for the predecessor may have reached the
+    /// new incarnation. The listing names such a run, or was requested before the run began.
+    pub(super) fn note_instance_start(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        listing: &Listing,
+    ) -> bool {
+        let born_ms = listing.born_ms;
         let known_ms = self.incarnation.born_ms;
         if known_ms == Some(born_ms) {
             return false;
@@ -260,7 +278,12 @@
             return false;
         }
         self.breaker = Breaker::default();
-        self.end_all_runs(now, Loss::Exit);
+        let running = listing.running.iter().map(|run| (run.task, run.run));
+        let ended = listing.ended.iter().map(|end| (end.task, end.run));
+        let named: BTreeSet<(TaskKey, RunNumber)> = running.chain(ended).collect();
+        self.end_all_runs(now, Loss::Exit, |task, tracked| {
+            named.contains(&(task, tracked.run)) || tracked.began_after(asked_at)
+        });
         self.report_silent_crashes(now);
         // The new incarnation may have another name, service or kind.
         self.instance = None;
--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -29,7 +29,7 @@
         if self.is_outdated(asked_at, listing.born_ms) {
             return (InstanceChange::None, Vec::new());
         }
-        let restarted = self.note_instance_start(now, listing.born_ms);
+        let restarted = self.note_instance_start(now, asked_at, listing);
         self.note_clock(now, listing.clock_ms);
         let first = !self.reachable;
         self.reachable = true;
@@ -40,13 +40,13 @@
         if first && !restarted {
             self.forget_silent_runs();
         }
-        // What a restarted instance runs was started by calls to its predecessor.
-        let mut calls = match first && !restarted {
-            true => {
+        let mut calls = match (restarted, first) {
+            (true, _) => self.stop_inherited_runs(now, listing),
+            (false, true) => {
                 self.import_runs(now, listing);
                 Vec::new()
             }
-            false => self.stop_unknown_runs(now, listing),
+            (false, false) => self.stop_unknown_runs(now, listing),
         };
         self.mark_listed_starts(now, listing);
         self.end_unlisted_runs(now, asked_at, listing);
@@ -155,6 +155,23 @@
         calls
     }
 
+    /// Stops all runs that a restarted instance lists: their starts were meant for its predecessor,
+    /// which may have been of another service or kind. Those in the table are over once the stop is
+    /// confirmed.
+    fn stop_inherited_runs(&mut self, now: Instant, listing: &Listing) -> Vec<DriverCall> {
+        let mut calls = Vec::new();
+        for listed in &listing.running {
+            let known = self.table.get(&listed.task);
+            if known.is_some_and(|tracked| tracked.run == listed.run) {
+                // An earlier stop of the run may have reached the predecessor.
+                self.mark_running(now, listed.task);
+                calls.extend(self.begin_stop(now, listed.task, false));
+            }
+        }
+        calls.extend(self.stop_unknown_runs(now, listing));
+        calls
+    }
+
     /// Removes runs that the instance should list and does not, and reports their ends.
     fn end_unlisted_runs(&mut self, now: Instant, asked_at: Instant, listing: &Listing) {
         let listed: BTreeSet<(TaskKey, RunNumber)> = listing
--- a/crates/hemlock_runs/src/tracked_run.rs
+++ b/crates/hemlock_runs/src/tracked_run.rs
@@ -71,6 +71,12 @@
             .map_or(0, |started| now.since(started).as_ms())
     }
 
+    /// Whether the run was first known to be running after a call was made at `asked_at`. A failure
+    /// of that call doesn't tell that the run is over.
+    pub(crate) fn began_after(&self, asked_at: Instant) -> bool {
+        matches!(self.phase, Phase::Running(since) if since > asked_at)
+    }
+
     /// Expected time until the run ends, in milliseconds. A run that takes longer than expected
     /// goes on for a fraction of its expected duration.
     pub(crate) fn left_ms(&self, now: Instant) -> u64 {
--- a/crates/hemlock_runs/tests/incarnations.rs
+++ b/crates/hemlock_runs/tests/incarnations.rs
@@ -329,3 +329,23 @@
     assert!(harness.model.running().contains_key(&task(1)));
     assert_eq!(ends(&mut harness), vec![], "the run has not ended");
 }
+
+/// Guards against the same failure if the loss of the earlier incarnation is noticed by a call that
+/// was refused, and handled only after the next incarnation had executed a start.
+#[test]
+fn a_run_that_began_after_a_refused_call_has_not_ended() {
+    let mut harness = Harness::new();
+    let call = start_in_flight(&mut harness);
+    let asked_at = harness.now;
+    harness.advance_ms(1);
+    harness.model = InstanceModel::new(2);
+    let result = harness.model.start(&call);
+    harness.runs.start_answered(harness.now, &call, result);
+    harness.runs.instance_lost(harness.now, asked_at);
+    assert_eq!(ends(&mut harness), vec![], "the run has not ended");
+    harness.advance_ms(1);
+    assert_eq!(harness.list(), InstanceChange::RunsLost);
+    harness.run_for_ms(100);
+    assert_eq!(ends(&mut harness).len(), 1);
+    assert!(harness.model.running().is_empty());
+}
