Send what belongs to an incarnation of an instance to no other one

Cause: a listing call carries the number of the last settled end and a time on the instance's clock. Both belong to an incarnation, but the call went to whichever one accepted it: after a restart under the same id, or after a refusal that made the runner drop the target. The next incarnation then forgot ends that it had not listed, and the runner took their tasks for lapsed.

Change: the call names the incarnation.

--- a/crates/hemlock_nodes/src/runner/listing.rs
+++ b/crates/hemlock_nodes/src/runner/listing.rs
@@ -87,6 +87,7 @@
         };
         ListCall {
             fence,
+            born_ms: runs.born_ms(),
             lease_until_ms: runs.renew_lease(now),
             settled: runs.settled(),
             wait_ms: wait.as_ms(),
--- a/crates/hemlock_nodes/tests/callers/runners.rs
+++ b/crates/hemlock_nodes/tests/callers/runners.rs
@@ -490,6 +490,7 @@
         };
         let call = ListCall {
             fence: runs.fence(),
+            born_ms: runs.born_ms(),
             lease_until_ms: runs.renew_lease(now),
             settled: runs.settled(),
             wait_ms,
--- a/crates/hemlock_nodes/tests/crashing_task.rs
+++ b/crates/hemlock_nodes/tests/crashing_task.rs
@@ -107,6 +107,7 @@
 fn list(side: &mut Side, now: Instant) {
     let call = ListCall {
         fence: side.runs.fence(),
+        born_ms: None,
         lease_until_ms: side.runs.renew_lease(now),
         settled: side.runs.settled(),
         wait_ms: 20,
--- a/crates/hemlock_nodes/tests/hedge.rs
+++ b/crates/hemlock_nodes/tests/hedge.rs
@@ -170,6 +170,7 @@
     let driver = HedgedDriver::new(Rc::new(ScriptedInstance::default()));
     let call = ListCall {
         fence: 1,
+        born_ms: None,
         lease_until_ms: None,
         settled: 0,
         wait_ms: 50,
--- a/crates/hemlock_nodes/tests/replay/fleet.rs
+++ b/crates/hemlock_nodes/tests/replay/fleet.rs
@@ -410,6 +410,7 @@
 fn list_call(runs: &mut Runs, now: Instant) -> ListCall {
     ListCall {
         fence: runs.fence(),
+        born_ms: None,
         lease_until_ms: runs.renew_lease(now),
         settled: runs.settled(),
         wait_ms: 20,
--- a/crates/hemlock_runs/src/driver.rs
+++ b/crates/hemlock_runs/src/driver.rs
@@ -64,6 +64,10 @@
     /// Fencing token of the agent's process; the instance rejects calls with a token lower than the
     /// highest that it has seen.
     pub fence: u64,
+    /// Start time of the incarnation that the numbers of ends and the clock below belong to, in Unix
+    /// milliseconds; `None` if it is unknown. They mean nothing to any other incarnation, although
+    /// it may have the same name and accept the call.
+    pub born_ms: Option<u64>,
     /// New end of the lease on the instance's clock, in milliseconds; `None` leaves the lease as it
     /// is.
     pub lease_until_ms: Option<u64>,
@@ -75,6 +79,20 @@
     pub timeout_ms: u64,
 }
 
+impl ListCall {
+    /// The same call without what belongs to an incarnation, for one that may be another: it renews
+    /// no lease, lets the instance forget no end, and is answered at once.
+    #[must_use]
+    pub fn to_any_incarnation(self) -> Self {
+        Self {
+            lease_until_ms: None,
+            settled: 0,
+            wait_ms: 0,
+            ..self
+        }
+    }
+}
+
 /// A running run in a listing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListedRun {
--- a/crates/hemlock_runs/src/runs/incarnation.rs
+++ b/crates/hemlock_runs/src/runs/incarnation.rs
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Start time of the present incarnation, as the instance answered, in Unix milliseconds; `None`
+    /// before the first answer.
+    pub fn born_ms(&self) -> Option<u64> {
+        self.incarnation.born_ms
+    }
+
     /// Whether a request sent at `asked_at` may have been answered, or refused, before the present
     /// incarnation was started. Only later requests tell that it has exited.
     pub fn predates_incarnation(&self, asked_at: Instant) -> bool {
--- a/crates/hemlock_runs/tests/harness/mod.rs
+++ b/crates/hemlock_runs/tests/harness/mod.rs
@@ -124,6 +124,7 @@
     pub(crate) fn list_call(&mut self) -> ListCall {
         ListCall {
             fence: self.runs.fence(),
+            born_ms: None,
             lease_until_ms: self.runs.renew_lease(self.now),
             settled: self.runs.settled(),
             wait_ms: 0,
--- a/crates/hemlock_runs/tests/leaders/runner.rs
+++ b/crates/hemlock_runs/tests/leaders/runner.rs
@@ -361,6 +361,7 @@
         let node = &mut self.runners[index];
         let call = ListCall {
             fence: node.runs.fence(),
+            born_ms: None,
             lease_until_ms: node.runs.renew_lease(now),
             settled: node.runs.settled(),
             wait_ms: 0,
--- a/crates/hemlock_runs/tests/simulation/runners.rs
+++ b/crates/hemlock_runs/tests/simulation/runners.rs
@@ -113,6 +113,7 @@
             runner.next_listing_ms = now_ms + LISTING_MS;
             let call = ListCall {
                 fence: runner.runs.fence(),
+                born_ms: None,
                 lease_until_ms: runner.runs.renew_lease(now),
                 settled: runner.runs.settled(),
                 wait_ms: 0,
--- a/crates/hemlock_standin/src/instance.rs
+++ b/crates/hemlock_standin/src/instance.rs
@@ -184,6 +184,7 @@
     pub fn identify(&mut self, fence: u64) -> Result<Listing, ListError> {
         self.list(&ListCall {
             fence,
+            born_ms: None,
             lease_until_ms: None,
             settled: 0,
             wait_ms: 0,
