Limit leases by the gateways of queued starts too

What callers would see: a task runs twice at once after its gateway and its runner were lost.

Cause: a lease covers the whole instance and never gets shorter, and only gateways with runs limited it. A start that waited behind another owner's run of a silent gateway went out within 0.85 s of the last sign, and ran under the full lease that the other owner's run had got.

Change: the gateways of queued starts limit the lease like those of runs.

--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -422,7 +422,11 @@
             last_heard.or_else(|| self.departed.get(&owner).copied())
         };
         let runs = self.table.values().filter(may_go_on);
-        let earliest = runs.filter_map(|tracked| heard_at(tracked.owner?)).min()?;
+        let runs = runs.filter_map(|tracked| tracked.owner);
+        // A lease never gets shorter, so it limits what is started under it later as well.
+        let queued = self.queued.values().map(|queued| queued.owner);
+        let queued = queued.filter(|owner| matches!(owner, Owner::Gateway(_)));
+        let earliest = runs.chain(queued).filter_map(heard_at).min()?;
         let limit_ms = self.settings.resubmit_ms.saturating_sub(RESUBMIT_MARGIN_MS);
         Some(earliest + DurationMs::new(limit_ms))
     }
--- a/crates/hemlock_runs/src/tracked_run.rs
+++ b/crates/hemlock_runs/src/tracked_run.rs
@@ -74,7 +74,11 @@
     /// Whether the run was first known to be running after a call was made at `asked_at`. A failure
     /// of that call doesn't tell that the run is over.
     pub(crate) fn began_after(&self, asked_at: Instant) -> bool {
-        matches!(self.phase, Phase::Running(since) if since > asked_at)
+        let is_known_to_run = matches!(
+            self.phase,
+            Phase::Running(_) | Phase::Stopping { started: true, .. }
+        );
+        is_known_to_run && self.started_at.is_some_and(|started| started > asked_at)
     }
 
     /// Expected time until the run ends, in milliseconds. A run that takes longer than expected
