Stop whatever began at a returned instance, and wait for it

Cause: after a restart was noticed, a run that began there was kept only while its phase was running: if its owner had ordered a stop meanwhile, it was reported as crashed before the stop took effect. One that began after the listing was requested was kept and never stopped, although the new incarnation may be of another service or kind.

Change: a run that is being stopped counts as begun when it was first known to run, and all runs that are kept are stopped.

--- a/crates/hemlock_runs/src/runs/listing.rs
+++ b/crates/hemlock_runs/src/runs/listing.rs
@@ -155,18 +155,24 @@
         calls
     }
 
-    /// Stops all runs that a restarted instance lists: their starts were meant for its predecessor,
-    /// which may have been of another service or kind. Those in the table are over once the stop is
-    /// confirmed.
+    /// Stops all runs that a restarted instance lists or that began after the listing was requested:
+    /// their starts were meant for its predecessor, which may have been of another service or kind.
+    /// Those in the table are over once the stop is confirmed.
     fn stop_inherited_runs(&mut self, now: Instant, listing: &Listing) -> Vec<DriverCall> {
+        let listed = listing
+            .running
+            .iter()
+            .map(|listed| (listed.task, listed.run));
+        let listed: BTreeSet<(TaskKey, RunNumber)> = listed.collect();
+        let kept = self.table.iter().filter(|(task, tracked)| {
+            listed.contains(&(**task, tracked.run)) || tracked.phase != Phase::Starting
+        });
+        let kept: Vec<TaskKey> = kept.map(|(task, _)| *task).collect();
         let mut calls = Vec::new();
-        for listed in &listing.running {
-            let known = self.table.get(&listed.task);
-            if known.is_some_and(|tracked| tracked.run == listed.run) {
-                // An earlier stop of the run may have reached the predecessor.
-                self.mark_running(now, listed.task);
-                calls.extend(self.begin_stop(now, listed.task, false));
-            }
+        for task in kept {
+            // An earlier stop of the run may have reached the predecessor.
+            self.mark_running(now, task);
+            calls.extend(self.begin_stop(now, task, false));
         }
         calls.extend(self.stop_unknown_runs(now, listing));
         calls
--- a/crates/hemlock_runs/tests/incarnations.rs
+++ b/crates/hemlock_runs/tests/incarnations.rs
@@ -325,7 +325,36 @@
     harness.runs.start_answered(harness.now, &call, result);
     harness.advance_ms(1);
     let (_, calls) = harness.runs.handle_listing(harness.now, asked_at, &listing);
+    assert!(harness.model.running().contains_key(&task(1)));
+    assert_eq!(ends(&mut harness), vec![], "the run has not ended");
     harness.execute(calls);
+    assert!(harness.model.running().is_empty(), "it is stopped");
+    assert_eq!(ends(&mut harness), vec![], "nothing confirms the stop");
+    harness.run_for_ms(100);
+    assert_eq!(ends(&mut harness).len(), 1);
+}
+
+/// Guards against the same failure if the owner has ordered a stop of the run meanwhile.
+#[test]
+fn a_run_that_is_being_stopped_at_a_restarted_instance_has_not_ended() {
+    let mut harness = Harness::new();
+    let call = start_in_flight(&mut harness);
+    harness.model = InstanceModel::new(2);
+    let asked_at = harness.now;
+    let list_call = harness.list_call();
+    let listing = harness.model.list(&list_call);
+    let listing = listing.expect("the call carries the highest fencing token");
+    harness.advance_ms(1);
+    let result = harness.model.start(&call);
+    harness.runs.start_answered(harness.now, &call, result);
+    let stop = StopOrder {
+        task: task(1),
+        run: call.run,
+    };
+    let (stops, _) = harness.order(GATEWAY, 1, vec![], vec![stop]);
+    assert_eq!(stops.len(), 1);
+    harness.advance_ms(1);
+    harness.runs.handle_listing(harness.now, asked_at, &listing);
     assert!(harness.model.running().contains_key(&task(1)));
     assert_eq!(ends(&mut harness), vec![], "the run has not ended");
 }
