Reject requests on connections that may be older than a cut

What callers would see: a task runs twice at once, through a gateway that was cut off and the one to which the caller submitted the job again.

Cause: after a cut, a request counted as outdated only if its connection was established before the last contact. A cut begins some time after that, so a connection could be established in between, and its request arrive seconds later: TCP repeats it at growing intervals.

Change: connections that were established before the first contact after the cut count as older. That rejects, as not run, also new requests that arrive before it.

--- a/crates/hemlock_nodes/src/gateway/interruptions.rs
+++ b/crates/hemlock_nodes/src/gateway/interruptions.rs
@@ -137,8 +137,8 @@
             let established_before = match latest.cause {
                 // The operating system may establish connections for a process that is stopped.
                 InterruptionCause::Stalled => latest.until + ACCEPT_BACKLOG,
-                // A connection can't be established while its client is cut off.
-                InterruptionCause::CutOff => latest.since,
+                // Nobody tells when the cut has begun, so the connection may be older than it.
+                InterruptionCause::CutOff => latest.until,
             };
             sent_after <= established_before && now <= latest.caught_up_at()
         })
--- a/crates/hemlock_nodes/tests/interrupted_gateway.rs
+++ b/crates/hemlock_nodes/tests/interrupted_gateway.rs
@@ -464,6 +464,26 @@
     );
 }
 
+/// Guards against the same failure if the connection was established after the last contact and
+/// before the cut, whose begin nobody tells.
+#[test]
+fn a_request_on_a_connection_that_may_be_older_than_a_cut_is_rejected() {
+    let mut gateway = Gateway::new();
+    gateway.run_for_ms(200);
+    let connected_at = gateway.now + DurationMs::new(100);
+    gateway.run_cut_off_for_ms(1_500);
+    gateway.begin_sessions(RunEnd::Lapsed);
+    gateway.run_for_ms(300);
+    let id = JobId(8);
+    let answer = gateway.try_submit(id, 100, 1_500, connected_at);
+    let rejected = CallerAnswer::Rejected {
+        reason: Rejection::Interrupted,
+        retry_after_ms: 1_000,
+    };
+    assert_eq!(answer.err(), Some(rejected));
+    assert!(gateway.try_submit(id, 100, 1_500, gateway.now).is_ok());
+}
+
 #[test]
 fn a_caller_that_submits_again_here_lets_its_job_go_on() {
     let mut gateway = Gateway::new();
