Take a message for a sign of when its gateway has sent it

What callers would see: a task runs twice at once after its gateway was lost, also without the loss of a runner, if the gateway's last messages were long on their way or its runner stood still.

Cause: a runner counted the silence of a gateway from the moment at which it handled the last message. A message that was held up for 0.7 s, or waited while the runner stood still, was a sign of 0.7 s too late, and the begin of a session was one whenever it arrived. With the gateway's time-out of 0.85 s that is more than the 1.3 s after which callers submit again.

Change: orders, pings and attachments carry the time on the gateway's clock. The fastest message of the last 30 to 60 s tells how the clocks differ, so a slow one tells when it was sent. Starts of an order that is older than 0.23 s are refused, because the lease in force may be too long for them. A session renews no lease before a sign that follows its begin; gateways ping at once.

One test asked that a waiting start goes out once a gateway has claimed the run before it; it now asks that it waits for a sign of that gateway, and goes out then.

--- a/crates/hemlock_nodes/src/coordinator/control.rs
+++ b/crates/hemlock_nodes/src/coordinator/control.rs
@@ -564,15 +564,20 @@
             let connection = connection.filter(|(session, _)| *session == order.session);
             let link = connection.and_then(|(_, connection)| self.service.link(*connection));
             let inputs = self.inputs.clone();
-            self.orders.spawn(send_order(link, order, inputs));
+            self.orders.spawn(send_order(link, order, self.now, inputs));
         }
     }
 }
 
 /// Sends an order to a runner. Refused starts and a lost order are reported to the control loop.
-async fn send_order(link: Option<Link>, order: Order, inputs: mpsc::UnboundedSender<Input>) {
+async fn send_order(
+    link: Option<Link>,
+    order: Order,
+    sent_at: Instant,
+    inputs: mpsc::UnboundedSender<Input>,
+) {
     let (agent, session) = (order.agent, order.session);
-    let request = RunnerRequest::Order(order);
+    let request = RunnerRequest::Order(order, sent_at.into());
     let answer = match &link {
         Some(link) => {
             let call = link.call::<_, RunnerReply>(&request);
--- a/crates/hemlock_nodes/src/gateway/runners.rs
+++ b/crates/hemlock_nodes/src/gateway/runners.rs
@@ -179,7 +179,7 @@
         let claims = runs
             .into_iter()
             .map(|(task, run, needs)| Claim { task, run, needs });
-        let attach = RunnerRequest::Attach(session, claims.collect());
+        let attach = RunnerRequest::Attach(session, claims.collect(), now.into());
         let link = &connection.link;
         let answer = link.call::<_, RunnerReply>(&attach);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT.as_std(), answer).await;
@@ -223,9 +223,11 @@
         link: &Link,
         current: &CurrentSession,
     ) -> &'static str {
-        let ping = RunnerRequest::Ping(session);
+        // The first ping is sent at once: without a sign after its begin, a session renews no lease.
+        let mut interval = DurationMs::new(0);
         loop {
-            tokio::time::sleep(PING_INTERVAL.as_std()).await;
+            tokio::time::sleep(interval.as_std()).await;
+            interval = PING_INTERVAL;
             if self.engine.borrow().is_retired(agent) {
                 return "displaced";
             }
@@ -234,6 +236,7 @@
             if sent_at < current.last_order_sent.get() + PING_INTERVAL {
                 continue;
             }
+            let ping = RunnerRequest::Ping(session, sent_at.into());
             let answer = link.call::<_, RunnerReply>(&ping);
             let answer = tokio::time::timeout(ANSWER_TIMEOUT.as_std(), answer).await;
             let load_report = match answer {
@@ -287,7 +290,7 @@
     async fn send_order(self: Rc<Self>, link: Link, current: &CurrentSession, order: Order) {
         let (agent, session, sequence) = (order.agent, order.session, order.sequence);
         let sent_at = self.clock.now();
-        let request = RunnerRequest::Order(order);
+        let request = RunnerRequest::Order(order, sent_at.into());
         let answer = link.call::<_, RunnerReply>(&request);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT.as_std(), answer).await;
         match answer {
--- a/crates/hemlock_nodes/src/message.rs
+++ b/crates/hemlock_nodes/src/message.rs
@@ -5,6 +5,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_quorum::prelude::KeeperId;
 use hemlock_runs::prelude::{Claim, RefusedStart};
+use hemlock_types::time::Instant;
 use serde::{Deserialize, Serialize};
 
 /// The operation that a caller requests on a queue or a job.
@@ -273,11 +274,21 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunnerRequest {
     /// Starts and stops of runs.
-    Order(Order),
+    Order(Order, SentAt),
     /// Begins a gateway's session and claims the runs that the gateway expects on this runner.
-    Attach(SessionId, Vec<Claim>),
+    Attach(SessionId, Vec<Claim>, SentAt),
     /// Keeps a gateway's session alive.
-    Ping(SessionId),
+    Ping(SessionId, SentAt),
+}
+
+/// Time on the sender's clock at which a request was sent, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentAt(pub u64);
+
+impl From<Instant> for SentAt {
+    fn from(at: Instant) -> Self {
+        Self(at.as_micros())
+    }
 }
 
 /// Replies of a runner.
--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -10,7 +10,7 @@
 use hemlock_wire::prelude::*;
 
 use super::Runner;
-use crate::message::{RunnerReply, RunnerRequest};
+use crate::message::{RunnerReply, RunnerRequest, SentAt};
 
 /// Serves calls from the leader and from gateways.
 pub(super) struct RunnerService {
@@ -65,8 +65,12 @@
     ) -> RunnerReply {
         let now = self.clock.now();
         match (request, owner) {
-            (RunnerRequest::Order(order), _) => {
-                let (calls, refused) = self.runs.borrow_mut().handle_order(now, owner, order);
+            (RunnerRequest::Order(order, SentAt(sent_us)), _) => {
+                let (calls, refused) = {
+                    let mut runs = self.runs.borrow_mut();
+                    let sent_at = runs.estimate_sent(now, owner, sent_us);
+                    runs.handle_order_sent(now, sent_at, owner, order)
+                };
                 self.make_calls(calls);
                 self.report_outcomes();
                 self.note_load_changed();
@@ -79,21 +83,23 @@
                 // The gateway retries after a short delay.
                 RunnerReply::VoidSession
             }
-            (RunnerRequest::Attach(session, claims), Owner::Gateway(gateway)) => {
+            (RunnerRequest::Attach(session, claims, SentAt(sent_us)), Owner::Gateway(gateway)) => {
                 self.gateways.attached(gateway, peer.connection, session);
                 let mut runs = self.runs.borrow_mut();
                 let inventory = runs.attach(now, owner, session, &claims);
+                runs.estimate_sent(now, owner, sent_us);
                 RunnerReply::Attached(inventory, runs.load_report(now, owner))
             }
-            (RunnerRequest::Ping(session), Owner::Gateway(_)) => {
+            (RunnerRequest::Ping(session, SentAt(sent_us)), Owner::Gateway(_)) => {
                 let mut runs = self.runs.borrow_mut();
-                match runs.owner_heard(owner, session, now) {
+                let sent_at = runs.estimate_sent(now, owner, sent_us);
+                match runs.gateway_pinged(now, owner, session, sent_at) {
                     true => RunnerReply::Alive(runs.load_report(now, owner)),
                     false => RunnerReply::VoidSession,
                 }
             }
             // The runner itself opens and maintains its session with the leader.
-            (RunnerRequest::Attach(..) | RunnerRequest::Ping(_), Owner::Leader) => {
+            (RunnerRequest::Attach(..) | RunnerRequest::Ping(..), Owner::Leader) => {
                 RunnerReply::VoidSession
             }
         }
--- a/crates/hemlock_nodes/tests/callers/gateways.rs
+++ b/crates/hemlock_nodes/tests/callers/gateways.rs
@@ -6,7 +6,7 @@
 use hemlock_jobs::prelude::*;
 use hemlock_nodes::connect_timeouts::ConnectTimeouts;
 use hemlock_nodes::gateway::engine::{Engine, EngineSettings, Submission};
-use hemlock_nodes::message::{CallerAnswer, Report, RunnerReply, RunnerRequest};
+use hemlock_nodes::message::{CallerAnswer, Report, RunnerReply, RunnerRequest, SentAt};
 use hemlock_runs::prelude::Claim;
 use hemlock_types::prelude::*;
 use tokio::sync::oneshot::Receiver;
@@ -316,8 +316,15 @@
             for stop in &order.stops {
                 self.note_task(stop.task, stop.run, runner, "stop ordered");
             }
-            let call = Call::Order(order.session, self.now_us);
-            self.call_runner(index, runner, connection, call, RunnerRequest::Order(order));
+            let sent_us = self.now_us;
+            let call = Call::Order(order.session, sent_us);
+            self.call_runner(
+                index,
+                runner,
+                connection,
+                call,
+                RunnerRequest::Order(order, SentAt(sent_us)),
+            );
         }
     }
 
@@ -483,7 +490,7 @@
         let claims = runs
             .into_iter()
             .map(|(task, run, needs)| Claim { task, run, needs });
-        let request = RunnerRequest::Attach(session, claims.collect());
+        let request = RunnerRequest::Attach(session, claims.collect(), now.into());
         self.call_runner(index, runner, connection, Call::Attach(session), request);
     }
 
@@ -561,7 +568,7 @@
                     self.send_orders(index, vec![order]);
                 }
                 let ping = Action::Gateway(GatewayEvent::Ping(runner, session));
-                self.push_to(Node::Gateway(index), self.now_us + PING_INTERVAL, ping);
+                self.push_to(Node::Gateway(index), self.now_us, ping);
                 self.run_engine(index);
             }
             (Call::Ping(session, sent_at), RunnerReply::Alive(load_report)) => {
@@ -622,7 +629,7 @@
             return;
         }
         let call = Call::Ping(session, self.now_us);
-        let request = RunnerRequest::Ping(session);
+        let request = RunnerRequest::Ping(session, SentAt(self.now_us));
         self.call_runner(index, runner, connection, call, request);
     }
 }
--- a/crates/hemlock_nodes/tests/callers/runners.rs
+++ b/crates/hemlock_nodes/tests/callers/runners.rs
@@ -6,7 +6,9 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_jobs::prelude::*;
 use hemlock_nodes::listing_backoff::ListingBackoff;
-use hemlock_nodes::message::{InstanceUpdate, Report, RunnerReply, RunnerRequest, RunnerUpdate};
+use hemlock_nodes::message::{
+    InstanceUpdate, Report, RunnerReply, RunnerRequest, RunnerUpdate, SentAt,
+};
 use hemlock_nodes::update_queue::{PendingUpdate, UpdateQueue};
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
@@ -274,8 +276,10 @@
         let now = self.now();
         let owner = Owner::Gateway(Incarnation(gateway));
         match request {
-            RunnerRequest::Order(order) => {
-                let (calls, refused) = self.runners[index].runs.handle_order(now, owner, order);
+            RunnerRequest::Order(order, SentAt(sent_us)) => {
+                let runs = &mut self.runners[index].runs;
+                let sent_at = runs.estimate_sent(now, owner, sent_us);
+                let (calls, refused) = runs.handle_order_sent(now, sent_at, owner, order);
                 for start in &refused {
                     self.note_task(start.task, start.run, index, "start refused by the runner");
                 }
@@ -286,18 +290,20 @@
                 RunnerReply::Ordered(refused, load_report)
             }
             RunnerRequest::Attach(..) if !self.knows_runs(index) => RunnerReply::VoidSession,
-            RunnerRequest::Attach(session, claims) => {
+            RunnerRequest::Attach(session, claims, SentAt(sent_us)) => {
                 let runner = &mut self.runners[index];
                 let link = runner.links.get_mut(&gateway);
                 if let Some(link) = link.filter(|link| link.connection == connection) {
                     link.session = Some(session);
                 }
                 let inventory = runner.runs.attach(now, owner, session, &claims);
+                runner.runs.estimate_sent(now, owner, sent_us);
                 RunnerReply::Attached(inventory, runner.runs.load_report(now, owner))
             }
-            RunnerRequest::Ping(session) => {
+            RunnerRequest::Ping(session, SentAt(sent_us)) => {
                 let runs = &mut self.runners[index].runs;
-                match runs.owner_heard(owner, session, now) {
+                let sent_at = runs.estimate_sent(now, owner, sent_us);
+                match runs.gateway_pinged(now, owner, session, sent_at) {
                     true => RunnerReply::Alive(runs.load_report(now, owner)),
                     false => RunnerReply::VoidSession,
                 }
--- a/crates/hemlock_nodes/tests/gateway_runners.rs
+++ b/crates/hemlock_nodes/tests/gateway_runners.rs
@@ -107,12 +107,12 @@
                 self.attached.set(self.attached.get() + 1);
                 RunnerReply::Attached(Inventory::default(), LoadReport::default())
             }
-            RunnerRequest::Ping(_) if self.ends_sessions.get() => RunnerReply::VoidSession,
-            RunnerRequest::Ping(_) => {
+            RunnerRequest::Ping(..) if self.ends_sessions.get() => RunnerReply::VoidSession,
+            RunnerRequest::Ping(..) => {
                 self.pings.set(self.pings.get() + 1);
                 RunnerReply::Alive(LoadReport::default())
             }
-            RunnerRequest::Order(_) => RunnerReply::Ordered(Vec::new(), LoadReport::default()),
+            RunnerRequest::Order(..) => RunnerReply::Ordered(Vec::new(), LoadReport::default()),
         });
         async move { Ok(encode(&reply?)?) }.boxed_local()
     }
--- a/crates/hemlock_nodes/tests/random_callers.rs
+++ b/crates/hemlock_nodes/tests/random_callers.rs
@@ -223,3 +223,156 @@
     };
     assert_no_task_runs_twice(&[cut(1), cut(2)]);
 }
+
+/// Plays schedules in which more work is offered than the instances can run.
+fn assert_no_task_runs_twice_under_overload(faults: &[Fault]) {
+    for seed in 0..FAULT_SEEDS {
+        let schedule = Schedule {
+            load_percent: 130,
+            ..Schedule::of(seed, faults.to_vec())
+        };
+        if let (Some(violation), _) = play(&schedule, 0) {
+            panic!("{}", describe(&schedule, 0, &violation));
+        }
+    }
+}
+
+fn all_but_first_gateway() -> Vec<Node> {
+    (1..GATEWAYS).map(Node::Gateway).collect()
+}
+
+fn to_all_runners() -> Scope {
+    Scope::Links {
+        gateway: None,
+        runner: None,
+        to_runner: true,
+        from_runner: false,
+    }
+}
+
+fn fault(at_ms: u64, kind: FaultKind) -> Fault {
+    let at_us = at_ms * MS;
+    Fault { at_us, kind }
+}
+
+fn kill_gateways() -> FaultKind {
+    FaultKind::Kill {
+        nodes: all_but_first_gateway(),
+        off_us: 1_500 * MS,
+    }
+}
+
+fn runners_lose_power() -> FaultKind {
+    FaultKind::PowerLoss {
+        nodes: (0..RUNNERS / 2).map(Node::Runner).collect(),
+        off_us: 1_500 * MS,
+    }
+}
+
+/// Guards against starts that wait in a runner's queue and then run under the lease of other owners. The
+/// closes of the killed gateways' connections don't reach the runners.
+#[test]
+fn queued_starts_end_in_time_after_a_loss_of_their_gateway_and_runner() {
+    for after_ms in [600, 700, 800, 850] {
+        let cut = FaultKind::Cut {
+            scope: Scope::Links {
+                gateway: Some(1),
+                runner: None,
+                to_runner: true,
+                from_runner: true,
+            },
+            for_us: 1_400 * MS,
+        };
+        let kill = FaultKind::Kill {
+            nodes: vec![Node::Gateway(1)],
+            off_us: 1_500 * MS,
+        };
+        assert_no_task_runs_twice_under_overload(&[
+            fault(13_000, cut),
+            fault(13_001, kill),
+            fault(13_000 + after_ms, runners_lose_power()),
+        ]);
+    }
+}
+
+/// Guards against messages that count as a sign of their gateway when they arrive, and not when they
+/// were sent.
+#[test]
+fn runs_end_in_time_after_a_loss_of_a_runner_and_their_gateway_whose_messages_were_slow() {
+    let slow = FaultKind::Delay {
+        scope: to_all_runners(),
+        delay_us: 550 * MS,
+        for_us: 700 * MS,
+    };
+    for after_ms in [350, 450, 550] {
+        assert_no_task_runs_twice(&[
+            fault(12_500, slow.clone()),
+            fault(13_000, kill_gateways()),
+            fault(13_000 + after_ms, runners_lose_power()),
+        ]);
+    }
+}
+
+/// Guards against the same failure of runners that stand still for less than the gateway timeout: they
+/// counted what waited for them as signs of now.
+#[test]
+fn runs_end_in_time_after_a_loss_of_their_gateway_while_their_runner_stood_still() {
+    for (still_ms, lost_ms) in [(500, 600), (600, 700), (700, 800), (700, 850)] {
+        let pause = FaultKind::Pause {
+            nodes: (0..RUNNERS / 2).map(Node::Runner).collect(),
+            for_us: still_ms * MS,
+            is_machine: false,
+        };
+        assert_no_task_runs_twice(&[
+            fault(12_900, pause),
+            fault(13_000, kill_gateways()),
+            fault(12_900 + lost_ms, runners_lose_power()),
+        ]);
+    }
+}
+
+/// Guards against the same failure after a silent loss of the gateway, without the loss of a runner.
+#[test]
+fn runs_end_in_time_after_a_silent_loss_of_a_gateway_whose_messages_were_slow() {
+    let of_gateway = |from_runner| Scope::Links {
+        gateway: Some(1),
+        runner: None,
+        to_runner: true,
+        from_runner,
+    };
+    for delay_us in [550 * MS, 700 * MS, 800 * MS] {
+        let slow = FaultKind::Delay {
+            scope: of_gateway(false),
+            delay_us,
+            for_us: 400 * MS,
+        };
+        let cut = FaultKind::Cut {
+            scope: of_gateway(true),
+            for_us: 3_000 * MS,
+        };
+        let kill = FaultKind::Kill {
+            nodes: vec![Node::Gateway(1)],
+            off_us: 2_500 * MS,
+        };
+        assert_no_task_runs_twice(&[fault(12_700, slow), fault(13_000, cut), fault(13_001, kill)]);
+    }
+}
+
+/// Guards against runs that a gateway takes for over, because answers of their runners are slow or lost,
+/// while its attempts to begin a session keep them.
+#[test]
+fn no_task_runs_twice_while_answers_of_runners_are_slow() {
+    for delay_us in [400 * MS, 550 * MS, 620 * MS, 700 * MS, 900 * MS] {
+        let slow = FaultKind::Delay {
+            scope: Scope::Links {
+                gateway: None,
+                runner: Some(1),
+                to_runner: false,
+                from_runner: true,
+            },
+            delay_us,
+            for_us: 5_000 * MS,
+        };
+        assert_no_task_runs_twice(&[fault(12_500, slow)]);
+    }
+}
--- a/crates/hemlock_runs/src/runs.rs
+++ b/crates/hemlock_runs/src/runs.rs
@@ -1,5 +1,6 @@
 //! State of the runs at one instance, of the owners that order them, and of the instance's lease.
 
+mod clock_offset;
 mod crashes;
 mod incarnation;
 mod listing;
@@ -10,6 +11,7 @@
 mod queue;
 mod start_limit;
 
+use clock_offset::ClockOffset;
 use crashes::CrashReports;
 use incarnation::IncarnationState;
 pub use incarnation::{Confirmation, Heartbeat, HeartbeatOutcome, InstanceChange};
@@ -146,9 +148,13 @@
 pub(crate) struct OwnerState {
     /// Current session; orders from any other session are refused.
     pub(crate) session: SessionId,
-    /// Time at which the owner was last heard from; for the leader, the sending time of the last
-    /// request that it confirmed, or of the first registration if it has confirmed none.
+    /// Time of the owner's last sign: for the leader, the sending time of the last request that it
+    /// confirmed, or of the first registration if it has confirmed none; for a gateway, the time at
+    /// which its last message was sent, as far as is known, or at which its session began.
     pub(crate) last_heard: Instant,
+    /// Time at which the last order or ping of a gateway was sent, as far as is known. The begin of a
+    /// session doesn't count, because its message may have been on its way for long.
+    pub(crate) last_sign: Option<Instant>,
     /// Time at which the session's connection closed; `None` while it is open.
     pub(crate) closed_at: Option<Instant>,
     /// Highest sequence number of the orders handled in this session.
@@ -197,6 +203,8 @@
     owners: BTreeMap<Owner, OwnerState>,
     /// Gateways without a session whose runs may not be over, with the time of their last sign.
     departed: BTreeMap<Owner, Instant>,
+    /// What is known of the clocks of gateways.
+    clock_offsets: BTreeMap<Owner, ClockOffset>,
     /// Sending time of the last request of this process that a leader has confirmed.
     leader_confirmed_at: Option<Instant>,
     shares: Shares,
@@ -260,6 +268,7 @@
             fence_accepted: false,
             owners: BTreeMap::new(),
             departed: BTreeMap::new(),
+            clock_offsets: BTreeMap::new(),
             leader_confirmed_at: None,
             shares: Shares::default(),
             instance: None,
@@ -416,10 +425,9 @@
             );
             matches!(tracked.owner, Some(Owner::Gateway(_))) && !has_stopped
         };
-        let heard_at = |owner: Owner| {
-            let state = self.owners.get(&owner);
-            let last_heard = state.map(|state| state.last_heard);
-            last_heard.or_else(|| self.departed.get(&owner).copied())
+        let heard_at = |owner: Owner| match self.owners.get(&owner) {
+            Some(state) => Some(state.last_sign.unwrap_or(Instant::ZERO)),
+            None => self.departed.get(&owner).copied(),
         };
         let runs = self.table.values().filter(may_go_on);
         let runs = runs.filter_map(|tracked| tracked.owner);
@@ -462,7 +470,7 @@
             return None;
         }
         let until_ms = match self.may_renew(now) {
-            true => self.extend_lease(now)?,
+            true => self.extend_lease(now)?.max(self.lease_until_max_ms),
             false => self.lease_until_max_ms,
         };
         let min_until_ms = self.clock_ms(now)? + self.settings.min_start_lease_ms;
--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -2,25 +2,40 @@
 
 use hemlock_dispatch::prelude::{Order, RefusalReason, StopOrder};
 use hemlock_jobs::prelude::*;
-use hemlock_types::time::Instant;
+use hemlock_types::time::{DurationMs, Instant};
 
-use super::{DriverCall, RefusedStart, RunOutcome, Runs};
+use super::{DriverCall, RESUBMIT_MARGIN_MS, RefusedStart, RunOutcome, Runs};
 use crate::driver::{StartCall, StartResult, StopCall, StopResult};
 use crate::tracked_run::{Owner, Phase, TrackedRun};
 
+/// Age of an order up to which its starts are accepted in any case, in milliseconds.
+const MIN_ORDER_AGE_MS: u64 = 100;
+
 impl Runs {
-    /// Handles an owner's order. Returns the calls that execute it and the starts that are refused.
+    /// Handles an owner's order that was sent just now.
     pub fn handle_order(
         &mut self,
         now: Instant,
         owner: Owner,
         order: Order,
+    ) -> (Vec<DriverCall>, Vec<RefusedStart>) {
+        self.handle_order_sent(now, now, owner, order)
+    }
+
+    /// Handles an owner's order that was sent at `sent_at`. Returns the calls that execute it and the
+    /// starts that are refused.
+    pub fn handle_order_sent(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        owner: Owner,
+        order: Order,
     ) -> (Vec<DriverCall>, Vec<RefusedStart>) {
         let in_session = self.is_in_session(owner, order.session, now);
         if let Some(state) = self.owners.get_mut(&owner).filter(|_| in_session) {
             state.last_order = state.last_order.max(order.sequence);
             if owner != Owner::Leader {
-                state.last_heard = now;
+                self.note_sign(owner, sent_at);
             }
         }
         let mut calls = Vec::new();
@@ -30,9 +45,10 @@
             calls.extend(stops.filter_map(|stop| self.stop(now, owner, stop)));
         }
         let for_instance = self.accepts_starts_for(&order.instance);
+        let is_timely = owner == Owner::Leader || now <= sent_at + self.max_order_age();
         for start in order.starts {
             let (task, run) = (start.task, start.run);
-            let result = match (in_session, for_instance) {
+            let result = match (in_session && is_timely, for_instance) {
                 (false, _) => Err(RefusalReason::Session),
                 (true, false) => Err(RefusalReason::NoInstance),
                 _ if !start.is_usable() => Err(RefusalReason::NoRoom),
@@ -51,6 +67,14 @@
         (calls, refused)
     }
 
+    /// Greatest age of a gateway's order whose starts are accepted. The lease in force may have been
+    /// renewed just now, and lets the runs of an older order go on for too long.
+    fn max_order_age(&self) -> DurationMs {
+        let limit_ms = self.settings.resubmit_ms.saturating_sub(RESUBMIT_MARGIN_MS);
+        let left_ms = limit_ms.saturating_sub(self.longest_lease().as_ms());
+        DurationMs::new(left_ms.max(MIN_ORDER_AGE_MS))
+    }
+
     fn is_known(&self, task: TaskKey) -> bool {
         self.table.contains_key(&task) || self.queued.contains_key(&task)
     }
--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -5,6 +5,7 @@
 use hemlock_types::time::{DurationMs, Instant};
 use serde::{Deserialize, Serialize};
 
+use super::clock_offset::ClockOffset;
 use super::ownership::{OwnershipChange, runs_of};
 use super::{DriverCall, OwnerState, Runs, RunsSettings};
 use crate::tracked_run::{Owner, Phase, TrackedRun};
@@ -55,11 +56,15 @@
             (Owner::Leader, Some(earlier)) => earlier.last_heard,
             _ => now,
         };
+        let earlier = self.owners.get(&owner);
+        let last_sign = earlier.and_then(|earlier| earlier.last_sign);
+        let last_sign = last_sign.or_else(|| self.departed.get(&owner).copied());
         self.owners.insert(
             owner,
             OwnerState {
                 session,
                 last_heard,
+                last_sign,
                 closed_at: None,
                 last_order: 0,
             },
@@ -75,9 +80,11 @@
         let others = self.table.iter();
         let others =
             others.filter(|(task, tracked)| tracked.owner == Some(owner) && !claimed(task));
-        runs.extend(others.map(|(task, tracked)| RunReport {
+        let others: Vec<(TaskKey, RunNumber)> =
+            others.map(|(task, tracked)| (*task, tracked.run)).collect();
+        runs.extend(others.iter().map(|(task, run)| RunReport {
             task: *task,
-            run: tracked.run,
+            run: *run,
             end: None,
             took_ms: 0,
         }));
@@ -267,15 +274,48 @@
         }
     }
 
+    /// Returns when a gateway has sent a message that arrives now, from the time on its clock in
+    /// microseconds.
+    ///
+    /// A message that was held up on its way, or while this process stood still, is no sign that its
+    /// sender is alive when it arrives.
+    pub fn estimate_sent(&mut self, now: Instant, owner: Owner, sent_us: u64) -> Instant {
+        let known = self.clock_offsets.entry(owner);
+        let offset = known.or_insert_with(|| ClockOffset::new(now, sent_us));
+        offset.estimate_sent(now, sent_us)
+    }
+
+    /// Tells that a ping of a gateway has arrived, which was sent at `sent_at`. Returns false if the
+    /// session is not its current one, or had expired.
+    pub fn gateway_pinged(
+        &mut self,
+        now: Instant,
+        owner: Owner,
+        session: SessionId,
+        sent_at: Instant,
+    ) -> bool {
+        let in_session = self.is_in_session(owner, session, now);
+        if in_session {
+            self.note_sign(owner, sent_at);
+        }
+        in_session
+    }
+
+    /// Notes a sign of a gateway.
+    pub(super) fn note_sign(&mut self, owner: Owner, sent_at: Instant) {
+        if let Some(state) = self.owners.get_mut(&owner) {
+            state.last_heard = state.last_heard.max(sent_at);
+            state.last_sign = state.last_sign.max(Some(sent_at));
+        }
+    }
+
     /// Tells that a gateway was heard from at `heard_at`, or that the leader confirmed a request
     /// sent then. Returns false if the session is not the owner's current one, or had expired.
     pub fn owner_heard(&mut self, owner: Owner, session: SessionId, heard_at: Instant) -> bool {
         if !self.is_in_session(owner, session, heard_at) {
             return false;
         }
-        if let Some(state) = self.owners.get_mut(&owner) {
-            state.last_heard = state.last_heard.max(heard_at);
-        }
+        self.note_sign(owner, heard_at);
         if owner == Owner::Leader {
             self.leader_confirmed_at = self.leader_confirmed_at.max(Some(heard_at));
         }
@@ -324,7 +364,8 @@
             self.drop_queued_starts(owner);
             let stops = self.stop_runs_of(now, Some(owner));
             if let Some(state) = state {
-                self.departed.insert(owner, state.last_heard);
+                let last_sign = state.last_sign.unwrap_or(Instant::ZERO);
+                self.departed.insert(owner, last_sign);
                 let change = OwnershipChange::owner_gone(now, owner, &state, &stops);
                 self.ownership_changes.push(change);
             }
@@ -333,6 +374,9 @@
         let table = &self.table;
         let has_runs = |owner: &Owner| table.values().any(|run| run.owner == Some(*owner));
         self.departed.retain(|owner, _| has_runs(owner));
+        let owners = &self.owners;
+        self.clock_offsets
+            .retain(|owner, offset| owners.contains_key(owner) || !offset.is_outdated(now));
         self.mark_lapsed_ends(now);
         self.breaker.advance(now);
         calls.extend(self.stop_unclaimed(now));
--- a/crates/hemlock_runs/tests/runs.rs
+++ b/crates/hemlock_runs/tests/runs.rs
@@ -399,6 +399,13 @@
     );
     harness.attach(GATEWAY, 2, &[claim(1)]);
     let calls = harness.runs.tick(harness.now);
+    assert_eq!(
+        calls,
+        vec![],
+        "nothing shows that the claimed run's gateway is alive"
+    );
+    assert!(harness.runs.owner_heard(GATEWAY, SessionId(2), harness.now));
+    let calls = harness.runs.tick(harness.now);
     harness.execute(calls);
     assert_eq!(harness.model.running().len(), 2);
 }
--- a/crates/hemlock_runs/tests/silent_gateways.rs
+++ b/crates/hemlock_runs/tests/silent_gateways.rs
@@ -2,8 +2,9 @@
 
 mod harness;
 
-use harness::{CAPACITY, GATEWAY, Harness, start, task};
+use harness::{CAPACITY, GATEWAY, Harness, needs, start, task};
 use hemlock_dispatch::prelude::*;
+use hemlock_jobs::prelude::*;
 use hemlock_runs::prelude::*;
 use hemlock_types::prelude::*;
 
@@ -80,3 +81,63 @@
         assert!(!is_running, "{blocker:?}, silent for {silent_ms} ms");
     }
 }
+
+/// Passes an order of the gateway that was sent `age_ms` ago. Returns the reasons of refused starts.
+fn order_late(harness: &mut Harness, job: u64, age_ms: u64) -> Vec<RefusalReason> {
+    let order = Order {
+        agent: AgentId(1),
+        session: SessionId(1),
+        sequence: job,
+        instance: Some(harness::instance(harness.model.born_ms).id),
+        starts: vec![start(job, 2, 1_000)],
+        stops: Vec::new(),
+    };
+    let now = harness.now;
+    // A message without a delay tells how the clocks differ.
+    harness.runs.estimate_sent(now, GATEWAY, now.as_micros());
+    let sent_us = now.before(DurationMs::new(age_ms)).as_micros();
+    let sent_at = harness.runs.estimate_sent(now, GATEWAY, sent_us);
+    let (calls, refused) = harness.runs.handle_order_sent(now, sent_at, GATEWAY, order);
+    harness.execute(calls);
+    refused.into_iter().map(|start| start.reason).collect()
+}
+
+/// Guards against the same failure if the gateway's last messages were long on their way: they
+/// counted as signs of the time at which they arrived.
+#[test]
+fn a_message_is_a_sign_of_when_it_was_sent() {
+    for age_ms in [0, 100, 200] {
+        let mut harness = Harness::new();
+        harness.attach(GATEWAY, 1, &[]);
+        harness.run_for_ms(300);
+        assert_eq!(order_late(&mut harness, 1, age_ms), vec![], "{age_ms} ms");
+        harness.list();
+        harness.model.advance_ms(RESUBMIT_MS - age_ms);
+        assert!(harness.model.running().is_empty(), "{age_ms} ms");
+    }
+    for age_ms in [400, 800, 5_000] {
+        let mut harness = Harness::new();
+        harness.attach(GATEWAY, 1, &[]);
+        harness.run_for_ms(300);
+        let refused = order_late(&mut harness, 1, age_ms);
+        assert_eq!(refused, vec![RefusalReason::Session], "{age_ms} ms");
+    }
+}
+
+/// Guards against sessions that expire after some hours because the clocks of two machines drift.
+#[test]
+fn clocks_that_drift_apart_make_no_message_late() {
+    for drift_us_per_s in [-200, 200] {
+        let mut harness = Harness::new();
+        harness.attach(GATEWAY, 1, &[]);
+        for seconds in 0..7_200 {
+            harness.now += DurationMs::new(1_000);
+            let now_us = harness.now.as_micros().cast_signed();
+            let sent_us = now_us + seconds * drift_us_per_s;
+            let sent_us = sent_us.cast_unsigned();
+            let sent_at = harness.runs.estimate_sent(harness.now, GATEWAY, sent_us);
+            let late_ms = harness.now.since(sent_at).as_ms();
+            assert!(late_ms <= 20, "{late_ms} ms after {seconds} s");
+        }
+    }
+}
