Stop runs that their gateway claims no more

Cause: a gateway that begins a session claims the runs that it believes to be there. Others of its runs were only listed in the answer, so stopping them depended on that answer: a gateway whose answers were lost had taken them for over after 2.47 s, while each of its attempts kept them.

It isn't shown that real links can lose just these answers.

Change: the runner itself stops what the gateway doesn't claim.

--- a/crates/hemlock_runs/src/runs/owners.rs
+++ b/crates/hemlock_runs/src/runs/owners.rs
@@ -88,6 +88,11 @@
             end: None,
             took_ms: 0,
         }));
+        if owner != Owner::Leader {
+            others
+                .iter()
+                .for_each(|(task, _)| self.stop_soon(now, *task));
+        }
         Inventory {
             instance: self.instance().cloned(),
             runs,
@@ -136,6 +141,14 @@
         }
     }
 
+    /// Stops a run with the next tick. Its gateway doesn't claim it, so it has taken the run for
+    /// over, and may not receive the answer that tells it otherwise.
+    fn stop_soon(&mut self, now: Instant, task: TaskKey) {
+        if self.begin_stop(now, task, false).is_some() {
+            self.stop_retries.insert(task);
+        }
+    }
+
     /// Begins a session with the leader. Returns all runs and ends that may belong to it: its own,
     /// and those of unknown owners whose numbers show that they need a record.
     pub fn attach_leader(&mut self, now: Instant, session: SessionId) -> Inventory {
--- a/crates/hemlock_runs/tests/silent_gateways.rs
+++ b/crates/hemlock_runs/tests/silent_gateways.rs
@@ -141,3 +141,30 @@
         }
     }
 }
+
+/// Guards against runs that go on beside others of their tasks: a gateway whose answers were lost had
+/// taken them for over, and its attempts to begin a session kept them.
+#[test]
+fn a_run_that_its_gateway_claims_no_more_is_stopped() {
+    let mut harness = Harness::new();
+    harness.attach(GATEWAY, 1, &[]);
+    harness.start(GATEWAY, 1, 1, 1_000);
+    let claim = Claim {
+        task: task(1),
+        run: RunNumber(1),
+        needs: needs(1_000),
+    };
+    for session in 2..8 {
+        harness.run_for_ms(600);
+        let claims: &[Claim] = if session > 5 { &[] } else { &[claim] };
+        harness.attach(GATEWAY, session, claims);
+        harness.run_for_ms(100);
+    }
+    assert!(harness.model.running().is_empty());
+    let mut harness = Harness::new();
+    harness.attach(GATEWAY, 1, &[]);
+    harness.start(GATEWAY, 1, 1, 1_000);
+    harness.attach(GATEWAY, 2, &[]);
+    harness.run_for_ms(100);
+    assert!(harness.model.running().is_empty(), "it isn't claimed");
+}
