Log orders that are refused because they are late

An operator sees by order-late and hemlock_runner_late_starts_total that starts are refused for their age or because their session had ended. Two tests share what they began with.

--- a/crates/hemlock_nodes/src/runner/service.rs
+++ b/crates/hemlock_nodes/src/runner/service.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
-use hemlock_runs::prelude::Owner;
+use hemlock_dispatch::prelude::{RefusalReason, SessionId};
+use hemlock_runs::prelude::{Owner, RefusedStart};
 use hemlock_types::prelude::*;
 use hemlock_wire::prelude::*;
+use tracing::info;
 
 use super::Runner;
 use crate::message::{RunnerReply, RunnerRequest, SentAt};
@@ -66,11 +68,12 @@
         let now = self.clock.now();
         match (request, owner) {
             (RunnerRequest::Order(order, SentAt(sent_us)), _) => {
-                let (calls, refused) = {
-                    let mut runs = self.runs.borrow_mut();
-                    let sent_at = runs.estimate_sent(now, owner, sent_us);
-                    runs.handle_order_sent(now, sent_at, owner, order)
-                };
+                let session = order.session;
+                let mut runs = self.runs.borrow_mut();
+                let sent_at = runs.estimate_sent(now, owner, sent_us);
+                let (calls, refused) = runs.handle_order_sent(now, sent_at, owner, order);
+                drop(runs);
+                log_late_order(owner, session, now.since(sent_at), &refused);
                 self.make_calls(calls);
                 self.report_outcomes();
                 self.note_load_changed();
@@ -105,3 +108,14 @@
         }
     }
 }
+
+/// Logs an order whose starts are refused because its session had ended, or because it was too long on
+/// its way.
+fn log_late_order(owner: Owner, session: SessionId, age: DurationMs, refused: &[RefusedStart]) {
+    let is_late = |start: &&RefusedStart| start.reason == RefusalReason::Session;
+    let starts = refused.iter().filter(is_late).count();
+    if starts > 0 {
+        metrics::counter!("hemlock_runner_late_starts_total").increment(starts as u64);
+        info!(event = "order-late", owner = ?owner, session = session.0, age_ms = age.as_ms(), starts);
+    }
+}
--- a/crates/hemlock_runs/tests/incarnations.rs
+++ b/crates/hemlock_runs/tests/incarnations.rs
@@ -6,6 +6,7 @@
 use hemlock_dispatch::prelude::*;
 use hemlock_runs::prelude::*;
 use hemlock_standin::InstanceModel;
+use hemlock_types::prelude::*;
 
 /// A heartbeat that names this incarnation.
 fn heartbeat(name: &str, born_ms: u64, sequence: u64) -> Heartbeat {
@@ -309,10 +310,9 @@
     assert_eq!(ends(&mut harness).len(), 1);
 }
 
-/// Guards against the same failure if the start was executed after the listing and its answer
-/// arrived before: the listing can't name the run.
-#[test]
-fn a_run_that_began_after_the_listing_of_a_restarted_instance_has_not_ended() {
+/// An instance that was restarted unnoticed, has been listed, and has executed a start after that. The
+/// listing, requested at the returned time, hasn't arrived yet.
+fn started_after_listing() -> (Harness, StartCall, Instant, Listing) {
     let mut harness = Harness::new();
     let call = start_in_flight(&mut harness);
     harness.model = InstanceModel::new(2);
@@ -323,6 +323,14 @@
     harness.advance_ms(1);
     let result = harness.model.start(&call);
     harness.runs.start_answered(harness.now, &call, result);
+    (harness, call, asked_at, listing)
+}
+
+/// Guards against the same failure if the start was executed after the listing and its answer
+/// arrived before: the listing can't name the run.
+#[test]
+fn a_run_that_began_after_the_listing_of_a_restarted_instance_has_not_ended() {
+    let (mut harness, _, asked_at, listing) = started_after_listing();
     harness.advance_ms(1);
     let (_, calls) = harness.runs.handle_listing(harness.now, asked_at, &listing);
     assert!(harness.model.running().contains_key(&task(1)));
@@ -337,16 +345,7 @@
 /// Guards against the same failure if the owner has ordered a stop of the run meanwhile.
 #[test]
 fn a_run_that_is_being_stopped_at_a_restarted_instance_has_not_ended() {
-    let mut harness = Harness::new();
-    let call = start_in_flight(&mut harness);
-    harness.model = InstanceModel::new(2);
-    let asked_at = harness.now;
-    let list_call = harness.list_call();
-    let listing = harness.model.list(&list_call);
-    let listing = listing.expect("the call carries the highest fencing token");
-    harness.advance_ms(1);
-    let result = harness.model.start(&call);
-    harness.runs.start_answered(harness.now, &call, result);
+    let (mut harness, call, asked_at, listing) = started_after_listing();
     let stop = StopOrder {
         task: task(1),
         run: call.run,
