--- a/crates/hemlock_runs/src/runs/orders.rs
+++ b/crates/hemlock_runs/src/runs/orders.rs
@@ -4,7 +4,8 @@
 use hemlock_jobs::prelude::*;
 use hemlock_types::time::{DurationMs, Instant};
 
-use super::{DriverCall, RESUBMIT_MARGIN_MS, RefusedStart, RunOutcome, Runs};
+use super::lease::RESUBMIT_MARGIN_MS;
+use super::{DriverCall, RefusedStart, RunOutcome, Runs};
 use crate::driver::{StartCall, StartResult, StopCall, StopResult};
 use crate::tracked_run::{Owner, Phase, TrackedRun};
 
